--- /dev/null
+++ b/src/main/java/kestreldeal/Drill.java
@@ -0,0 +1,433 @@
+package kestreldeal;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The adapter: the simulator's wire to {@link Relay} and back, for many instances. It decides nothing. */
+final class Drill {
+    private final BufferedReader in;
+    private final PrintStream out;
+    private final PrintStream err;
+    private final Map<String, Relay> instances = new HashMap<>();
+    private final Map<Integer, List<Relay.Endpoint>> lists = new HashMap<>();
+    private final StringBuilder reply = new StringBuilder();
+    private long lineNumber;
+    private double now;
+
+    Drill(InputStream in, PrintStream out, PrintStream err) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+        this.err = err;
+    }
+
+    /** Answers batches until input ends; returns the exit code: 0, or 1 after input that can't be read. */
+    int run() {
+        try {
+            for (String line = nextLine(); line != null; line = nextLine()) {
+                if (!line.isEmpty()) {
+                    batch(new Fields(line));
+                }
+            }
+            return 0;
+        } catch (BadInput | IOException e) {
+            err.println("line " + lineNumber + ": " + e.getMessage());
+            return 1;
+        }
+    }
+
+    private String nextLine() throws IOException {
+        lineNumber++;
+        return in.readLine();
+    }
+
+    private void batch(Fields head) throws IOException, BadInput {
+        head.expect("BATCH");
+        now = head.number("clock");
+        long batch = head.whole("batch");
+        Set<String> touched = new LinkedHashSet<>();
+        reply.setLength(0);
+        for (String line = nextLine(); !"FLUSH".equals(line); line = nextLine()) {
+            if (line == null) {
+                throw new BadInput("input ends inside batch " + batch);
+            }
+            Fields fields = new Fields(line);
+            String name = fields.text("event");
+            if (name.equals("ROSTER")) {
+                roster(fields);
+                continue;
+            }
+            String instance = fields.text("instance");
+            if (name.equals("KILLED")) {
+                instances.remove(instance);
+                touched.remove(instance);
+                continue;
+            }
+            Runnable event = event(name, instance, fields);
+            touched.add(instance);
+            guarded(instance, event);
+        }
+        for (String instance : touched) {
+            guarded(instance, () -> relay(instance).endTurn(now));
+        }
+        out.print(reply);
+        out.print("YIELD " + batch + "\n");
+        out.flush();
+    }
+
+    /** An exception in the module becomes the wire's fault action, with its text on one line. */
+    private void guarded(String instance, Runnable event) {
+        try {
+            event.run();
+        } catch (RuntimeException e) {
+            action("BUG", instance, e.toString().replaceAll("\\s+", " "));
+        }
+    }
+
+    private Runnable event(String name, String instance, Fields f) throws BadInput {
+        switch (name) {
+            case "SPAWN": {
+                long seed = f.whole("entropy");
+                Relay.Settings settings = settings(f.pairs());
+                return () -> instances.put(instance, Relay.create(settings, seed, new Wire(instance)));
+            }
+            case "UPDATE":
+                return update(instance, f);
+            case "SUBMIT":
+                return submit(instance, f);
+            case "ATTEMPT_END":
+                return attemptEnd(instance, f);
+            case "CLIENT_LEFT": {
+                long message = f.whole("req");
+                return () -> relay(instance).withdrawn(now, message);
+            }
+            case "TIMER":
+                return () -> relay(instance).wake(now);
+            case "HEADERS":
+            case "CHECK_RESULT":
+            case "HEARD":
+                return () -> relay(instance).wake(now);
+            default:
+                throw new BadInput("unknown event " + name);
+        }
+    }
+
+    private Relay relay(String instance) {
+        Relay relay = instances.get(instance);
+        if (relay == null) {
+            throw new IllegalStateException("event for an instance that does not run: " + instance);
+        }
+        return relay;
+    }
+
+    private void roster(Fields f) throws IOException, BadInput {
+        int list = f.index("list");
+        long count = f.whole("entries");
+        List<Relay.Endpoint> rows = new ArrayList<>();
+        for (long i = 0; i < count; i++) {
+            String line = nextLine();
+            if (line == null) {
+                throw new BadInput("input ends inside list " + list);
+            }
+            Fields row = new Fields(line);
+            row.expect("ROW");
+            long id = row.whole("endpoint");
+            int zone = row.index("failure_domain");
+            int kind = row.index("kind");
+            long destination = row.whole("belongs_to");
+            String condition = row.text("condition");
+            double rate = row.numberOr("scale", 0);
+            rows.add(new Relay.Endpoint(id, destination, kind, zone, condition.equals("SERVING"), rate));
+        }
+        lists.put(list, rows);
+    }
+
+    private Runnable update(String instance, Fields f) throws BadInput {
+        String mode = f.text("mode");
+        if (mode.equals("refused")) {
+            return () -> relay(instance).wake(now);
+        }
+        f.text("serial");
+        List<Relay.Endpoint> entries = lists.get(f.index("list"));
+        if (entries == null) {
+            throw new BadInput("UPDATE names a list that was not given");
+        }
+        boolean whole = switch (mode) {
+            case "all", "remembered" -> true;
+            case "changes" -> false;
+            default -> throw new BadInput("unknown list mode " + mode);
+        };
+        return () -> relay(instance).endpoints(now, whole, entries);
+    }
+
+    private Runnable submit(String instance, Fields f) throws BadInput {
+        long id = f.whole("req");
+        int messageClass = f.index("kind");
+        int tenant = (int) f.numberOr("billing", 0);
+        Optional<String> key = f.optional("affinity");
+        double left = f.number("time_left_ms");
+        f.text("predicted_ms");
+        long destination = f.whole("to_dest");
+        Relay.Message message = new Relay.Message(id, messageClass, tenant, key, left, destination);
+        return () -> relay(instance).message(now, message);
+    }
+
+    private Runnable attemptEnd(String instance, Fields f) throws BadInput {
+        long message = f.whole("req");
+        int attempt = f.index("round_no");
+        f.text("endpoint");
+        Relay.Outcome outcome = outcome(f.text("state_code"));
+        double took = f.number("wait_time_ms");
+        boolean finished = f.whole("no_more") != 0;
+        double note = f.numberOr("hold_ms", 0);
+        double wait = outcome == Relay.Outcome.FULL ? note : 0;
+        Relay.AttemptEnd end = new Relay.AttemptEnd(message, attempt, outcome, took, finished, wait);
+        return () -> relay(instance).attemptEnded(now, end);
+    }
+
+    private static Relay.Outcome outcome(String code) throws BadInput {
+        return switch (code) {
+            case "success" -> Relay.Outcome.DELIVERED;
+            case "failure" -> Relay.Outcome.ERROR;
+            case "overloaded" -> Relay.Outcome.FULL;
+            case "timed_out" -> Relay.Outcome.TIMED_OUT;
+            case "unreachable" -> Relay.Outcome.UNREACHABLE;
+            case "broken" -> Relay.Outcome.BROKEN;
+            case "withdrawn" -> Relay.Outcome.CANCELLED;
+            case "void" -> Relay.Outcome.NOT_SENT;
+            default -> throw new BadInput("unknown outcome " + code);
+        };
+    }
+
+    private static Relay.Settings settings(Pairs p) throws BadInput {
+        List<Relay.MessageClass> classes = new ArrayList<>();
+        for (int i = 0; i < p.number("classes.count"); i++) {
+            String c = "classes." + i + ".";
+            Relay.Effect effect = switch (p.text(c + "repeat")) {
+                case "safe" -> Relay.Effect.SAFE;
+                case "keyed" -> Relay.Effect.KEYED;
+                case "unsafe" -> Relay.Effect.UNSAFE;
+                default -> throw new BadInput("unknown value of " + c + "repeat");
+            };
+            classes.add(new Relay.MessageClass(p.number(c + "aim_ms"), p.number(c + "give_up_ms"),
+                    p.numberOr(c + "worth", 1), p.numberOr(c + "late_worth", 0), effect,
+                    !p.textOr(c + "dedup_scope", "all").equals("all"), p.numberOr(c + "window_ms", 0),
+                    p.flag(c + "sequential")));
+        }
+        List<Relay.Kind> kinds = new ArrayList<>();
+        List<String> routes = p.list("family_info.separate_routes");
+        List<String> batches = p.list("family_info.batch_by_kind");
+        for (int i = 0; i < Math.max(routes.size(), batches.size()); i++) {
+            kinds.add(new Relay.Kind(i < routes.size() && routes.get(i).equals("true"),
+                    i < batches.size() ? (int) p.parse(batches.get(i)) : 1));
+        }
+        List<Double> fees = new ArrayList<>();
+        for (String fee : p.list("family_info.carriage")) {
+            fees.add(p.parse(fee));
+        }
+        Relay.Decay decay = p.textOr("family_info.decay", "line").equals("halves")
+                ? Relay.Decay.HALVES : Relay.Decay.LINE;
+        Relay.ColdStart cold = new Relay.ColdStart(p.number("rules.start_capacity"),
+                p.number("rules.warm_after_ms"), p.number("rules.fall_multiple"), p.number("rules.fall_ms"));
+        boolean ratesListed = !p.textOr("weight_kind", "none").equals("none");
+        return new Relay.Settings(classes, kinds, ratesListed, decay, fees,
+                (int) p.number("fleet_size"), (int) p.number("family_info.workers"),
+                (int) p.number("limits.most_tries"), p.flag("limits.second_copies"), p.flag("limits.cancel"),
+                p.numberOr("rules.order_pause_ms", 0), p.numberOr("limits.keepalive_ms", 0), cold);
+    }
+
+    private void action(String name, String instance, Object... values) {
+        reply.append(name).append(' ').append(instance);
+        for (Object value : values) {
+            reply.append(' ').append(value);
+        }
+        reply.append('\n');
+    }
+
+    /** The actions of one instance, written as lines of the reply. */
+    private final class Wire implements Relay.Actions {
+        private final String instance;
+
+        Wire(String instance) {
+            this.instance = instance;
+        }
+
+        @Override
+        public void send(long message, long endpoint, double timeoutMs) {
+            action("SUBMIT_TO", instance, message, timeoutMs, endpoint);
+        }
+
+        @Override
+        public void cancel(long message, int attempt) {
+            action("UNDO_SEND", instance, message, attempt);
+        }
+
+        @Override
+        public void closeIdle(long endpoint) {
+            action("HANG_UP", instance, endpoint);
+        }
+
+        @Override
+        public void refuse(long message, double waitMs) {
+            action("BOUNCE", instance, message, waitMs);
+        }
+
+        @Override
+        public void fail(long message) {
+            action("DROP_REQUEST", instance, message);
+        }
+
+        @Override
+        public void wakeAt(double time) {
+            action("NOTIFY_ME", instance, time, 0);
+        }
+
+        @Override
+        public void log(String text) {
+            action("DEBUG", instance, text);
+        }
+    }
+
+    /** Input that can't be read, in plain words. */
+    private static final class BadInput extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadInput(String text) {
+            super(text);
+        }
+    }
+
+    /** The parts of one line, taken in order. */
+    private static final class Fields {
+        private final String line;
+        private int at;
+
+        Fields(String line) {
+            this.line = line;
+        }
+
+        String text(String field) throws BadInput {
+            if (at > line.length() || line.isEmpty()) {
+                throw new BadInput("field " + field + " is missing");
+            }
+            int end = line.indexOf(' ', at);
+            end = end < 0 ? line.length() : end;
+            String part = line.substring(at, end);
+            at = end + 1;
+            if (part.isEmpty()) {
+                throw new BadInput("field " + field + " is empty");
+            }
+            return part;
+        }
+
+        void expect(String word) throws BadInput {
+            String found = text("name");
+            if (!found.equals(word)) {
+                throw new BadInput("expected " + word + ", found " + found);
+            }
+        }
+
+        Optional<String> optional(String field) throws BadInput {
+            String part = text(field);
+            return part.equals("-") ? Optional.empty() : Optional.of(part);
+        }
+
+        double number(String field) throws BadInput {
+            String part = text(field);
+            try {
+                return Double.parseDouble(part);
+            } catch (NumberFormatException e) {
+                throw new BadInput("field " + field + " is not a number: " + part);
+            }
+        }
+
+        double numberOr(String field, double absent) throws BadInput {
+            int from = at;
+            if (optional(field).isEmpty()) {
+                return absent;
+            }
+            at = from;
+            return number(field);
+        }
+
+        long whole(String field) throws BadInput {
+            String part = text(field);
+            try {
+                return Long.parseLong(part);
+            } catch (NumberFormatException e) {
+                throw new BadInput("field " + field + " is not a whole number: " + part);
+            }
+        }
+
+        int index(String field) throws BadInput {
+            long value = whole(field);
+            if (value < 0 || value > Integer.MAX_VALUE) {
+                throw new BadInput("field " + field + " is out of range: " + value);
+            }
+            return (int) value;
+        }
+
+        Pairs pairs() throws BadInput {
+            Map<String, String> values = new HashMap<>();
+            while (at < line.length()) {
+                String pair = text("setting");
+                int cut = pair.indexOf('=');
+                if (cut < 1) {
+                    throw new BadInput("setting without a value: " + pair);
+                }
+                values.put(pair.substring(0, cut), pair.substring(cut + 1));
+            }
+            return new Pairs(values);
+        }
+    }
+
+    /** The settings of one instance by their wire names; unknown ones are never asked for. */
+    private record Pairs(Map<String, String> values) {
+        String text(String name) throws BadInput {
+            String value = values.get(name);
+            if (value == null) {
+                throw new BadInput("setting " + name + " is missing");
+            }
+            return value;
+        }
+
+        String textOr(String name, String absent) {
+            return values.getOrDefault(name, absent);
+        }
+
+        double number(String name) throws BadInput {
+            return parse(text(name));
+        }
+
+        double numberOr(String name, double absent) throws BadInput {
+            return values.containsKey(name) ? number(name) : absent;
+        }
+
+        boolean flag(String name) {
+            return textOr(name, "false").equals("true");
+        }
+
+        List<String> list(String name) {
+            String value = textOr(name, "");
+            return value.isEmpty() || value.equals("-") ? List.of() : List.of(value.split(","));
+        }
+
+        double parse(String value) throws BadInput {
+            try {
+                return Double.parseDouble(value);
+            } catch (NumberFormatException e) {
+                throw new BadInput("not a number among the settings: " + value);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/Logic.java
@@ -0,0 +1,947 @@
+package kestreldeal;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * The decision module. Its interface, with all types, events and actions, is Relay.java.
+ *
+ * <p>A message waits in the queue until {@link #endTurn}, which ranks what waits and gives each message the
+ * best endpoint that {@link #maySend} lets pass; the send starts a wave. At a fixed offset a copy joins if
+ * the {@link Throttle} allows. The first delivery wins and the rest are cancelled; when every attempt of
+ * the wave has ended retryable the message waits again, for a new wave. {@link #finish} gives every final
+ * answer.
+ *
+ * <p>Parts: {@link Delivery} is a message and its wave; {@link Call} what travels together; {@link Limit} the
+ * pace and told wait of a destination, or of a route where routes are separate; {@link Target} an endpoint
+ * with its health and its ramp after an outage; {@link Throttle} bounds copies and new tries; {@link
+ * Connections} is the trust in idle connections, {@link KeyOrder} the keys in order, {@link Timers} what is
+ * due later. All times are milliseconds, all rates calls a millisecond.
+ */
+final class Logic implements Relay {
+    // The wave.
+    /** Share of the aim after which a copy is scheduled (the design's default). */
+    private static final double COPY_OFFSET = 0.5;
+    /** Copies over the period: this many, and this share of the first sends (the design's default). */
+    private static final double COPY_BASE = 1;
+    private static final double COPY_SHARE = 0.1;
+    private static final double THROTTLE_PERIOD_MS = 10_000;
+    /** New waves of refused messages, alike. */
+    private static final double RETRY_BASE = 2;
+    private static final double RETRY_SHARE = 0.3;
+    /** First pause before a new wave and its growth, lest quick errors or many senders burn all attempts. */
+    private static final double BACKOFF_MS = 200;
+    private static final double BACKOFF_GROWTH = 3;
+    /** A keyed repeat stays this far inside its window, for the time that it travels. */
+    private static final double WINDOW_MARGIN_MS = 300;
+
+    // Time-outs: the aim and a quarter at least, more where answers are seen to take longer.
+    private static final double TIMEOUT_AIMS = 1.25;
+    private static final double TIMEOUT_DEVIATIONS = 8;
+    /** An unsafe message has one try that may run, which may take this share of its deadline at least. */
+    private static final double UNSAFE_PATIENCE = 0.33;
+    /** Weight of a new answer time in the running mean and deviation. */
+    private static final double LATENCY_WEIGHT = 0.15;
+    /** Answer time assumed of an endpoint that has not answered yet. */
+    private static final double FIRST_LATENCY_MS = 250;
+
+    // Pace.
+    /** A pace is cut to this share: at first of the last second's sends. */
+    private static final double PACE_CUT = 0.7;
+    /** A pace stands for no more than this multiple of what was sent of late: unused, it only grows. */
+    private static final double PACE_OVER_SENT = 1.3;
+    /** Growth of a pace with each delivery: little near where it was refused, until that is so long ago. */
+    private static final double PACE_GROWTH = 0.15;
+    private static final double PACE_PROBE = 0.03;
+    private static final double PACE_NEAR = 0.9;
+    private static final double PACE_MEMORY_MS = 4000;
+    /**
+     * Longest interval of a pace after one refusal, lest a sender with little traffic keep its message for
+     * long. It grows so many times with each further refusal, up to so often, and falls with each delivery.
+     */
+    private static final double PACE_PAUSE_MS = 500;
+    private static final double PACE_PAUSE_GROWTH = 3;
+    private static final int PACE_PAUSES = 4;
+    /** Slowest pace, as a share of the messages that this sender takes for the destination. */
+    private static final double PACE_LEAST_SHARE = 0.2;
+    /** The same as a share of the even part of a listed rate, which may be half too high. */
+    private static final double LISTED_SHARE = 0.5;
+    /** Idle for so long, a destination loses pace and counts (the design's figure). */
+    private static final double IDLE_MS = 60_000;
+
+    /** A told wait is kept, and a wake counts as come, within this much: clocks are rounded. */
+    private static final double CLOCK_MARGIN_MS = 1;
+
+    // Health.
+    /** Evidence, 0 to 1: each bad outcome closes this share of the gap to 1, each good one multiplies it. */
+    private static final double BAD_WEIGHT = 0.2;
+    private static final double UNREACHABLE_WEIGHT = 0.6;
+    private static final double GOOD_FACTOR = 0.6;
+    /** From here on an endpoint counts as down: five bad outcomes in a row, or a failed connect. */
+    private static final double DOWN_AT = 0.6;
+    /** Overdue calls without any answer since, after which an endpoint counts as silent. */
+    private static final int SILENT_CALLS = 2;
+    private static final double SILENT_DEVIATIONS = 4;
+    /** Bad ends or refusals in a row over at least so long, without a delivery, mean shut or dead. */
+    private static final int SHUT_ENDS = 3;
+    private static final double SHUT_MS = 2500;
+    /** Pause between trials of what is down: least; at most, times the senders and in warm-ups. */
+    private static final double TRIAL_LEAST_MS = 500;
+    private static final double TRIAL_MOST = 4;
+    /** Share of the rule's budget that the ramp of a returning endpoint uses; the rest is for chance. */
+    private static final double RAMP_SAFETY = 0.7;
+    /** Time over which an endpoint's carried rate is averaged, and the shortest that counts. */
+    private static final double CARRIED_MS = 10_000;
+    /** Share of the messages taken for a destination that it is trusted to carry, if it was not seen to. */
+    private static final double DEMAND_SHARE = 0.7;
+    private static final double CARRIED_LEAST_MS = 2000;
+
+    // Connections.
+    /** A connection without use for so long counts as idle. */
+    private static final double IDLE_LEAST_MS = 100;
+    /** Trust after a loss, as a share of the time that the connection had idled; forgotten after so long. */
+    private static final double TRUST_CUT = 0.25;
+    private static final double TRUST_MEMORY_MS = 30_000;
+
+    // The queue.
+    /** Rank is the worth lost by waiting so much longer: about as long as a queue under pressure takes. */
+    private static final double RANK_HORIZON_MS = 1500;
+    /** Weight of plain worth in the rank, to settle ties between messages that lose nothing yet. */
+    private static final double RANK_WORTH = 0.01;
+    /** Time worth a fee of one point: about what a message loses in worth when it waits so long. */
+    private static final double FEE_MS = 25_000;
+    /** Time before the deadline at which a message that is not out is answered. */
+    private static final double ANSWER_MARGIN_MS = 5;
+
+    private final Settings settings;
+    private final Actions actions;
+    private final Random random;
+    private final Map<Long, Target> targets = new LinkedHashMap<>();
+    private final Map<Long, Destination> destinations = new LinkedHashMap<>();
+    private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
+    private final Set<Delivery> queue = new LinkedHashSet<>();
+    private final Deque<Double> firstSends = new ArrayDeque<>();
+    private final Throttle copies = new Throttle(COPY_BASE, COPY_SHARE);
+    private final Throttle retries = new Throttle(RETRY_BASE, RETRY_SHARE);
+    private final Connections connections = new Connections();
+    private final KeyOrder keys = new KeyOrder();
+    private final Timers timers = new Timers();
+    private int slotsUsed;
+    private long turn;
+    private double clock = Double.NEGATIVE_INFINITY;
+
+    Logic(Settings settings, long seed, Actions actions) {
+        this.settings = settings;
+        this.actions = actions;
+        this.random = new Random(seed);
+    }
+
+    // ---- events ----
+
+    @Override
+    public void endpoints(double now, boolean whole, List<Endpoint> entries) {
+        tick(now);
+        if (whole) {
+            targets.values().forEach(target -> target.serving = false);
+        }
+        for (Endpoint entry : entries) {
+            Destination destination = destination(entry.destination());
+            Target target = targets.get(entry.id());
+            if (target == null) {
+                target = new Target(entry, destination);
+                targets.put(entry.id(), target);
+                destination.targets.add(target);
+            }
+            target.serving = entry.serving();
+            target.limit.listedRate = settings.ratesListed() ? entry.listedRate() / 1000 : 0;
+        }
+    }
+
+    @Override
+    public void message(double now, Message message) {
+        tick(now);
+        if (message.messageClass() < 0 || message.messageClass() >= settings.classes().size()) {
+            throw new IllegalArgumentException("unknown class " + message.messageClass());
+        }
+        if (deliveries.containsKey(message.id())) {
+            throw new IllegalArgumentException("message " + message.id() + " was already taken");
+        }
+        Delivery d = new Delivery(message);
+        d.destination.demand.count();
+        deliveries.put(message.id(), d);
+        keys.taken(d);
+        queue.add(d);
+        timers.add(d.deadline - ANSWER_MARGIN_MS, () -> finish(d));
+    }
+
+    @Override
+    public void attemptEnded(double now, AttemptEnd end) {
+        tick(now);
+        Delivery d = deliveries.get(end.message());
+        if (d == null || end.attempt() < 0 || end.attempt() >= d.attempts.size()) {
+            throw new IllegalArgumentException("unknown attempt " + end.attempt() + " of message "
+                    + end.message());
+        }
+        Attempt attempt = d.attempts.get(end.attempt());
+        if (!attempt.out) {
+            return;
+        }
+        attempt.out = false;
+        attempt.mayHaveRun = end.outcome().mayHaveRun();
+        d.refused = end.outcome() == Outcome.FULL;
+        d.out--;
+        attempt.call.itemEnded(end);
+        keys.attemptEnded(d, end.outcome());
+        if (end.finished()) {
+            close(d);
+        }
+        if (d.ended) {
+            forget(d);
+        } else if (d.out == 0) {
+            nextWave(d);
+        }
+    }
+
+    @Override
+    public void withdrawn(double now, long message) {
+        tick(now);
+        Delivery d = deliveries.get(message);
+        if (d != null && !d.ended) {
+            close(d);
+            forget(d);
+        }
+    }
+
+    @Override
+    public void wake(double now) {
+        tick(now);
+    }
+
+    @Override
+    public void endTurn(double now) {
+        tick(now);
+        timers.run(now);
+        dispatch();
+        turn++;
+        timers.ask(now, nextOpening());
+    }
+
+    private Destination destination(long id) {
+        return destinations.computeIfAbsent(id, unknown -> new Destination());
+    }
+
+    /** Forgets the times that lie further back. */
+    private void trim(Deque<Double> times, double periodMs) {
+        while (!times.isEmpty() && times.peek() < clock - periodMs) {
+            times.remove();
+        }
+    }
+
+    private void tick(double now) {
+        if (now < clock) {
+            throw new IllegalArgumentException("the clock went back");
+        }
+        clock = now;
+    }
+
+    // ---- decisions ----
+
+    /** Sends what waits, the most pressing first, as far as gates and slots allow. */
+    private void dispatch() {
+        List<Delivery> ranked = new ArrayList<>();
+        for (Delivery d : queue) {
+            if (d.notBefore <= clock) {
+                d.rank = d.rank();
+                ranked.add(d);
+            }
+        }
+        ranked.sort(Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt));
+        for (Delivery d : ranked) {
+            choose(d, false).ifPresent(target -> send(d, target, false));
+        }
+    }
+
+    /** The endpoint to send to among those that the gate lets pass; a copy goes elsewhere if it can. */
+    private Optional<Target> choose(Delivery d, boolean copy) {
+        Target best = null;
+        boolean elsewhere = copy && d.destination.targets.stream().anyMatch(t -> t.serving && !d.isOutAt(t));
+        for (Target target : d.destination.targets) {
+            boolean passed = elsewhere && d.isOutAt(target) || copy && target.state == State.DOWN;
+            if (!passed && maySend(d, target) && (best == null || target.cost(d) < best.cost(d))) {
+                best = target;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** The gate that every send passes: first send, copy and new wave. */
+    private boolean maySend(Delivery d, Target target) {
+        return !d.ended && target.serving
+                && clock < d.deadline - ANSWER_MARGIN_MS
+                && d.attempts.size() < settings.maxAttempts()
+                && mayRepeat(d, target)
+                && keys.mayGo(d)
+                && (!d.refused || d.out > 0 || retries.allows())
+                && target.limit.waitUntil <= clock
+                && (target.mayJoin() || slotsUsed < settings.slots() && target.destination.hasSlot()
+                        && target.limit.nextAt <= clock && target.opensAt() <= clock);
+    }
+
+    /** Whether one more attempt there keeps the promise that no effect happens twice. */
+    private boolean mayRepeat(Delivery d, Target target) {
+        for (Attempt earlier : d.attempts) {
+            if (!earlier.out && !earlier.mayHaveRun) {
+                continue;
+            }
+            if (earlier.out && !settings.copies() || d.type.effect() == Effect.UNSAFE) {
+                return false;
+            }
+            if (d.type.effect() == Effect.KEYED
+                    && (clock > earlier.call.sentAt + d.type.windowMs() - WINDOW_MARGIN_MS
+                    || d.type.sameZone() && earlier.call.target.entry.zone() != target.entry.zone())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void send(Delivery d, Target target, boolean copy) {
+        Call call = target.joinOrStart();
+        Attempt attempt = new Attempt(call);
+        d.attempts.add(attempt);
+        d.out++;
+        queue.remove(d);
+        keys.attemptSent(d);
+        if (copy) {
+            copies.sent();
+        } else if (d.attempts.size() == 1) {
+            firstSends.add(clock);
+            trim(firstSends, THROTTLE_PERIOD_MS);
+        } else if (d.refused) {
+            retries.sent();
+        }
+        double timeout = Math.min(target.timeout(d.type), d.deadline - clock);
+        actions.send(d.message.id(), target.entry.id(), timeout);
+        double offset = d.type.aimMs() * COPY_OFFSET;
+        timers.add(clock + offset, () -> offsetPassed(d, attempt, copy));
+        timers.add(clock + Math.max(offset, target.patience()), call::overdue);
+    }
+
+    /** The scheduled offset after a send: a copy may join the wave. */
+    private void offsetPassed(Delivery d, Attempt attempt, boolean copy) {
+        boolean races = attempt.out && d.type.effect() != Effect.UNSAFE && settings.copies() && !copy;
+        if (races && !d.ended && slotsUsed < settings.slots() && copies.allows()) {
+            choose(d, true).ifPresent(target -> send(d, target, true));
+        }
+    }
+
+    /** Every attempt has ended retryable: wait for a new wave, unless no further attempt can be allowed. */
+    private void nextWave(Delivery d) {
+        boolean possible = d.attempts.size() < settings.maxAttempts() && clock < d.deadline - ANSWER_MARGIN_MS
+                && d.destination.targets.stream().anyMatch(t -> mayRepeat(d, t));
+        if (!possible) {
+            finish(d);
+            return;
+        }
+        double backoff = BACKOFF_MS * Math.pow(BACKOFF_GROWTH, d.waves) * (0.75 + 0.5 * random.nextDouble());
+        d.notBefore = clock + Math.min(backoff, (d.deadline - clock) / 2);
+        d.waves++;
+        queue.add(d);
+        timers.add(d.notBefore, () -> { });
+    }
+
+    /** The final answer of what waits undelivered: refused where trying again is harmless, else failed. */
+    private void finish(Delivery d) {
+        if (d.ended || d.out > 0) {
+            return;
+        }
+        boolean repeatable = d.type.effect() == Effect.SAFE
+                || d.type.effect() == Effect.KEYED && !d.type.sameZone();
+        if (repeatable || d.attempts.stream().noneMatch(a -> a.out || a.mayHaveRun)) {
+            actions.refuse(d.message.id(), 0);
+        } else {
+            actions.fail(d.message.id());
+        }
+        close(d);
+        forget(d);
+    }
+
+    /** Ends a message and cancels what is redundant. */
+    private void close(Delivery d) {
+        if (d.ended) {
+            return;
+        }
+        d.ended = true;
+        queue.remove(d);
+        keys.ended(d);
+        for (int i = 0; i < d.attempts.size(); i++) {
+            if (d.attempts.get(i).out && settings.cancels()) {
+                actions.cancel(d.message.id(), i);
+            }
+        }
+    }
+
+    private void forget(Delivery d) {
+        if (d.out == 0) {
+            deliveries.remove(d.message.id());
+        }
+    }
+
+    /** When the next gate opens by time alone for a message that waits. */
+    private double nextOpening() {
+        double next = Double.POSITIVE_INFINITY;
+        for (Destination destination : queue.stream().map(d -> d.destination).distinct().toList()) {
+            for (Target target : destination.targets) {
+                double at = Math.max(Math.max(target.limit.waitUntil, target.limit.nextAt), target.nextAt);
+                if (target.serving && at > clock) {
+                    next = Math.min(next, at);
+                }
+            }
+        }
+        return next;
+    }
+
+    // ---- parts ----
+
+    /** A message and its wave. */
+    private final class Delivery {
+        final Message message;
+        final MessageClass type;
+        final Destination destination;
+        final double aimAt;
+        final double deadline;
+        final List<Attempt> attempts = new ArrayList<>();
+        double notBefore = Double.NEGATIVE_INFINITY;
+        double rank;
+        int waves;
+        boolean refused;
+        int out;
+        boolean ended;
+
+        Delivery(Message message) {
+            this.message = message;
+            this.type = settings.classes().get(message.messageClass());
+            this.destination = destination(message.destination());
+            this.deadline = clock + message.timeLeftMs();
+            this.aimAt = deadline - type.deadlineMs() + type.aimMs();
+        }
+
+        boolean isOutAt(Target target) {
+            return attempts.stream().anyMatch(a -> a.out && a.call.target == target);
+        }
+
+        /** Worth when delivered at that time. */
+        double worthAt(double time) {
+            if (time > deadline) {
+                return 0;
+            }
+            double late = Math.max(0, time - aimAt);
+            double share = settings.decay() == Decay.HALVES
+                    ? Math.max(type.lateWorth(), Math.pow(0.5, late / type.aimMs()))
+                    : 1 - (1 - type.lateWorth()) * late / (type.deadlineMs() - type.aimMs());
+            return type.worth() * share;
+        }
+
+        double rank() {
+            double worth = worthAt(clock);
+            return worth - worthAt(clock + RANK_HORIZON_MS) + RANK_WORTH * worth;
+        }
+    }
+
+    /** One attempt of a message. */
+    private static final class Attempt {
+        final Call call;
+        boolean out = true;
+        boolean mayHaveRun;
+
+        Attempt(Call call) {
+            this.call = call;
+        }
+    }
+
+    /** Messages that travel as one: one slot, one fate. */
+    private final class Call {
+        final Target target;
+        final double sentAt = clock;
+        final long sentTurn = turn;
+        final double idledMs;
+        int items;
+        int itemsOut;
+        boolean observed;
+        boolean late;
+
+        Call(Target target) {
+            this.target = target;
+            this.idledMs = connections.take(target);
+            target.usedAt = clock;
+            slotsUsed++;
+            target.out++;
+            target.destination.out++;
+        }
+
+        void itemEnded(AttemptEnd end) {
+            itemsOut--;
+            target.limit.told(end.waitMs());
+            if (!observed && end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NOT_SENT) {
+                observed = true;
+                target.observe(this, end);
+            }
+            target.usedAt = clock;
+            if (itemsOut == 0) {
+                slotsUsed--;
+                target.out--;
+                target.destination.out--;
+            }
+        }
+
+        void overdue() {
+            if (!late && !observed && itemsOut > 0) {
+                late = true;
+                target.overdue(this);
+            }
+        }
+    }
+
+    /** A destination: its endpoints and, where they share one, its limit. */
+    private final class Destination {
+        final List<Target> targets = new ArrayList<>();
+        final Limit shared = new Limit(this);
+        final Rate demand = new Rate();
+        int out;
+
+        /** Fewer slots than stay free, lest a slow or silent one holds them all. */
+        boolean hasSlot() {
+            return out < Math.max(1, settings.slots() - slotsUsed - 1);
+        }
+    }
+
+    /** The pace and told wait of what shares one limit. Guards against refusals and broken waits. */
+    private final class Limit {
+        final Rate sends = new Rate();
+        final Deque<Double> lastSecond = new ArrayDeque<>();
+        final Destination destination;
+        int pressed;
+        double listedRate;
+        double rate = Double.POSITIVE_INFINITY;
+        double nextAt = Double.NEGATIVE_INFINITY;
+        double waitUntil = Double.NEGATIVE_INFINITY;
+        double edge;
+        double cutAt = Double.NEGATIVE_INFINITY;
+
+        Limit(Destination destination) {
+            this.destination = destination;
+        }
+
+        void sent() {
+            if (!lastSecond.isEmpty() && lastSecond.peekLast() < clock - IDLE_MS) {
+                rate = Double.POSITIVE_INFINITY;
+            }
+            sends.count();
+            lastSecond.add(clock);
+            trim(lastSecond, 1000);
+            if (rate < Double.POSITIVE_INFINITY) {
+                nextAt = Math.max(nextAt + 1 / rate, clock);
+            }
+        }
+
+        /** Each message of a call may be told its own wait, in turns of its own. */
+        void told(double waitMs) {
+            waitUntil = waitMs > 0 ? Math.max(waitUntil, clock + waitMs + CLOCK_MARGIN_MS) : waitUntil;
+        }
+
+        /**
+         * Refusals of calls sent before the last cut are old news. Waits of all senders end at one moment:
+         * where a pace is slower than the wait it begins at random after it, lest they all come at once.
+         */
+        void refused(Call call) {
+            if (call.sentAt < cutAt) {
+                return;
+            }
+            edge = rate == Double.POSITIVE_INFINITY ? lastSecond.size() / 1000.0
+                    : Math.min(rate, PACE_OVER_SENT * sends.perMs());
+            rate = Math.max(floor(), edge * PACE_CUT);
+            pressed = Math.min(pressed + 1, PACE_PAUSES);
+            cutAt = clock;
+            nextAt = clock + 1 / rate;
+            if (nextAt > waitUntil) {
+                nextAt = Math.max(clock, waitUntil) + (0.5 + random.nextDouble()) / rate;
+            }
+        }
+
+        void delivered() {
+            pressed = Math.max(pressed - 1, 0);
+            boolean quick = rate < PACE_NEAR * edge || clock > cutAt + PACE_MEMORY_MS;
+            rate = Math.max(floor(), rate * (1 + (quick ? PACE_GROWTH : PACE_PROBE)));
+        }
+
+        private double floor() {
+            double own = Math.max(PACE_LEAST_SHARE * destination.demand.perMs(),
+                    LISTED_SHARE * listedRate / settings.senders());
+            return Math.max(1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed)), own);
+        }
+    }
+
+    /** Events a millisecond over the last stretch of time in which they were watched. */
+    private final class Rate {
+        double events;
+        double over;
+        double at = clock;
+
+        void count() {
+            double kept = Math.exp((at - clock) / CARRIED_MS);
+            events = events * kept + 1;
+            over = over * kept + CARRIED_MS * (1 - kept);
+            at = clock;
+        }
+
+        /** Watches again after a time that does not count. */
+        void resume() {
+            at = clock;
+        }
+
+        double perMs() {
+            return events / Math.max(over, CARRIED_LEAST_MS);
+        }
+    }
+
+    private enum State { UP, DOWN, WARMING }
+
+    /**
+     * An endpoint and its health. Guards against dead, silent, failing and shut endpoints alike: when down,
+     * single trials replace the backlog; when it answers again, a ramp keeps within what a cold endpoint can
+     * take. It should hold against any outage that shows; it may hurt where an endpoint is merely slow.
+     */
+    private final class Target {
+        final Endpoint entry;
+        final Destination destination;
+        final Limit limit;
+        final int batch;
+        final double fee;
+        boolean serving;
+        State state = State.UP;
+        Call latest;
+        double latency = FIRST_LATENCY_MS;
+        double deviation = FIRST_LATENCY_MS / 2;
+        double bad;
+        int silentCalls;
+        int fruitless;
+        double fruitlessSince;
+        double lastGood = Double.NEGATIVE_INFINITY;
+        final Rate carried = new Rate();
+        double warmSince;
+        double downAt;
+        boolean silentOnly;
+        double nextAt = Double.NEGATIVE_INFINITY;
+        double usedAt = Double.NEGATIVE_INFINITY;
+        int out;
+
+        Target(Endpoint entry, Destination destination) {
+            Kind kind = settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
+            this.entry = entry;
+            this.destination = destination;
+            this.limit = kind.separateRoutes() ? new Limit(destination) : destination.shared;
+            this.batch = kind.batch();
+            boolean charged = kind.separateRoutes() && entry.zone() < settings.zoneFees().size();
+            this.fee = charged ? settings.zoneFees().get(entry.zone()) : 0;
+        }
+
+        /**
+         * What sending there costs in time: the usual answer with its calls out, the last fruitless ends and
+         * the fee. A trial that is due goes first, lest it stay down for ever; unsafe messages avoid it.
+         */
+        double cost(Delivery d) {
+            if (state == State.DOWN) {
+                return (d.type.effect() == Effect.UNSAFE ? 1 : -1) * Double.POSITIVE_INFINITY;
+            }
+            double freeShare = 1 - (double) slotsUsed / settings.slots();
+            return latency * (1 + out) + fruitless * SHUT_MS + fee * FEE_MS * freeShare;
+        }
+
+        boolean mayJoin() {
+            return latest != null && latest.sentTurn == turn && latest.items < batch && state != State.DOWN;
+        }
+
+        Call joinOrStart() {
+            if (!mayJoin()) {
+                latest = new Call(this);
+                limit.sent();
+                nextAt = state == State.UP ? nextAt : clock + 1 / allowedRate();
+            }
+            latest.items++;
+            latest.itemsOut++;
+            return latest;
+        }
+
+        /** When its health lets the next call go. */
+        double opensAt() {
+            return state == State.DOWN && out > 0 ? Double.POSITIVE_INFINITY : nextAt;
+        }
+
+        /** How long a usual answer may take here. */
+        double patience() {
+            return latency + SILENT_DEVIATIONS * deviation;
+        }
+
+        double timeout(MessageClass type) {
+            double base = Math.max(type.aimMs() * TIMEOUT_AIMS, latency + TIMEOUT_DEVIATIONS * deviation);
+            double patience = type.effect() == Effect.UNSAFE ? type.deadlineMs() * UNSAFE_PATIENCE : 0;
+            return Math.max(base, patience);
+        }
+
+        /** Pace while down or warming: the rule's budget, shared as the load was shared before. */
+        double allowedRate() {
+            ColdStart cold = settings.coldStart();
+            double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
+            double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
+            double asked = destination.demand.perMs() / destination.targets.size() * DEMAND_SHARE;
+            double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * Math.max(carried.perMs(), asked);
+            double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
+            return state == State.DOWN ? Math.max(least, Math.min(1 / TRIAL_LEAST_MS, rate)) : rate;
+        }
+
+        void observe(Call call, AttemptEnd end) {
+            switch (end.outcome()) {
+                case DELIVERED -> good(call, end);
+                case FULL -> full(call, end.waitMs());
+                case UNREACHABLE -> bad(UNREACHABLE_WEIGHT, "refuses connections");
+                case ERROR -> bad(BAD_WEIGHT, "loses calls");
+                default -> {
+                    connections.lost(call);
+                    bad(BAD_WEIGHT, "loses calls");
+                }
+            }
+            if (state == State.WARMING && clock - warmSince >= settings.coldStart().warmMs()) {
+                up("is warm");
+            }
+        }
+
+        private void good(Call call, AttemptEnd end) {
+            connections.held(call);
+            bad *= GOOD_FACTOR;
+            silentCalls = 0;
+            fruitless = 0;
+            lastGood = clock;
+            deviation += LATENCY_WEIGHT * (Math.abs(end.tookMs() - latency) - deviation);
+            latency += LATENCY_WEIGHT * (end.tookMs() - latency);
+            if (state == State.UP) {
+                carried.count();
+            } else if (state == State.DOWN && silentOnly && call.sentAt < downAt) {
+                up("was slow, not silent");
+            } else if (state == State.DOWN) {
+                state = State.WARMING;
+                warmSince = clock;
+                latency = end.tookMs();
+                nextAt = clock + 1 / allowedRate();
+                actions.log("endpoint " + entry.id() + " answers again, warming");
+            }
+            limit.delivered();
+        }
+
+        private void full(Call call, double waitMs) {
+            limit.refused(call);
+            if (noneGood() || waitMs >= SHUT_MS) {
+                down("is shut");
+            }
+        }
+
+        private boolean noneGood() {
+            if (fruitless++ == 0) {
+                fruitlessSince = clock;
+            }
+            return fruitless >= SHUT_ENDS && clock - fruitlessSince >= SHUT_MS;
+        }
+
+        private void bad(double weight, String symptom) {
+            bad += (1 - bad) * weight;
+            if (noneGood() || bad >= DOWN_AT) {
+                down(symptom);
+            }
+        }
+
+        void overdue(Call call) {
+            connections.lost(call);
+            if (lastGood < call.sentAt && ++silentCalls >= SILENT_CALLS) {
+                boolean wasDown = state == State.DOWN;
+                down("is silent");
+                silentOnly = !wasDown;
+            }
+        }
+
+        private void up(String symptom) {
+            state = State.UP;
+            nextAt = clock;
+            carried.resume();
+            actions.log("endpoint " + entry.id() + " " + symptom);
+        }
+
+        private void down(String symptom) {
+            silentOnly = false;
+            if (state != State.DOWN) {
+                state = State.DOWN;
+                downAt = clock;
+                nextAt = Math.max(clock, limit.waitUntil) + random.nextDouble() / allowedRate();
+                actions.log("endpoint " + entry.id() + " " + symptom + ", trials only");
+            }
+        }
+    }
+
+    /**
+     * How long a connection may idle before it is not trusted. Guards against connections that are dropped
+     * unseen: after losses on idle ones at two destinations, connections that idled nearly so long are closed
+     * before the next call, until a delivery over one that idled as long comes in. It holds whatever drops
+     * them; it costs set-ups where calls are lost for another reason.
+     */
+    private final class Connections {
+        private Optional<Call> suspect = Optional.empty();
+        private double lostAt = Double.NEGATIVE_INFINITY;
+        private boolean sure;
+
+        /** How long the connection that a call now takes has idled: 0 for one in use, or a new one. */
+        double take(Target target) {
+            double idle = target.out > 0 ? 0 : clock - target.usedAt;
+            if (clock > lostAt + TRUST_MEMORY_MS) {
+                suspect = Optional.empty();
+                sure = false;
+            }
+            if (idle < IDLE_LEAST_MS || idle >= settings.keepAliveMs()) {
+                return 0;
+            }
+            if (sure && suspect.filter(s -> idle > s.idledMs * TRUST_CUT).isPresent()) {
+                actions.closeIdle(target.entry.id());
+                return 0;
+            }
+            return idle;
+        }
+
+        void lost(Call call) {
+            if (call.idledMs > 0) {
+                sure |= suspect.filter(s -> s.target.destination != call.target.destination).isPresent();
+                suspect = suspect.filter(s -> s.idledMs < call.idledMs).or(() -> Optional.of(call));
+                lostAt = clock;
+            }
+        }
+
+        void held(Call call) {
+            suspect = suspect.filter(s -> s != call && (call.late || call.idledMs < s.idledMs));
+            sure &= suspect.isPresent();
+        }
+    }
+
+    /**
+     * Bounds extra sends, over all destinations, by a share of first sends: copies, lest a slow one double
+     * the load, and new waves of refused messages, as refused calls may use up a limit for good.
+     */
+    private final class Throttle {
+        private final double base;
+        private final double share;
+        private final Deque<Double> extra = new ArrayDeque<>();
+
+        Throttle(double base, double share) {
+            this.base = base;
+            this.share = share;
+        }
+
+        void sent() {
+            extra.add(clock);
+            timers.add(clock + THROTTLE_PERIOD_MS + CLOCK_MARGIN_MS, () -> { });
+        }
+
+        boolean allows() {
+            trim(extra, THROTTLE_PERIOD_MS);
+            trim(firstSends, THROTTLE_PERIOD_MS);
+            return extra.size() + 1 <= base + share * firstSends.size();
+        }
+    }
+
+    /** Messages in order by key: one at a time, as taken, and a rest after an end that may still run. */
+    private final class KeyOrder {
+        private final Map<String, Line> lines = new LinkedHashMap<>();
+
+        private static final class Line {
+            final Deque<Delivery> waiting = new ArrayDeque<>();
+            double restUntil = Double.NEGATIVE_INFINITY;
+            int out;
+        }
+
+        private Optional<Line> line(Delivery d) {
+            return d.type.inOrder() ? d.message.key().map(lines::get) : Optional.empty();
+        }
+
+        void taken(Delivery d) {
+            if (d.type.inOrder()) {
+                d.message.key().ifPresent(key -> lines.computeIfAbsent(key, k -> new Line()).waiting.add(d));
+            }
+        }
+
+        boolean mayGo(Delivery d) {
+            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
+                    .orElse(true);
+        }
+
+        void attemptSent(Delivery d) {
+            line(d).ifPresent(l -> l.out++);
+        }
+
+        void attemptEnded(Delivery d, Outcome outcome) {
+            line(d).ifPresent(l -> {
+                l.out--;
+                if (outcome.mayHaveRun() && outcome != Outcome.ERROR) {
+                    l.restUntil = clock + settings.keyRestMs();
+                    timers.add(l.restUntil, () -> drop(d));
+                }
+                drop(d);
+            });
+        }
+
+        void ended(Delivery d) {
+            line(d).ifPresent(l -> l.waiting.remove(d));
+            drop(d);
+        }
+
+        private void drop(Delivery d) {
+            line(d).filter(l -> l.waiting.isEmpty() && l.out == 0 && l.restUntil <= clock)
+                    .ifPresent(l -> lines.remove(d.message.key().get()));
+        }
+    }
+
+    /** What is due later, and the one wake that is asked for it. */
+    private final class Timers {
+        private final PriorityQueue<Timer> due =
+                new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::number));
+        private long count;
+        private double asked = Double.POSITIVE_INFINITY;
+
+        private record Timer(double at, long number, Runnable action) {
+        }
+
+        void add(double at, Runnable action) {
+            due.add(new Timer(at, count++, action));
+        }
+
+        void run(double now) {
+            while (!due.isEmpty() && due.peek().at() <= now) {
+                due.remove().action().run();
+            }
+        }
+
+        void ask(double now, double opening) {
+            double next = Math.min(opening, due.isEmpty() ? Double.POSITIVE_INFINITY : due.peek().at());
+            if (asked <= now + CLOCK_MARGIN_MS || next < asked) {
+                asked = next;
+                if (next < Double.POSITIVE_INFINITY) {
+                    actions.wakeAt(next);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/Main.java
@@ -0,0 +1,26 @@
+package kestreldeal;
+
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+
+/** The command line: {@code drill} speaks the simulator's wire on standard input and output. */
+public final class Main {
+    private Main() {
+    }
+
+    /** Runs the command named by the first argument; usage goes to standard error, exit code 2. */
+    public static void main(String[] args) {
+        if (args.length != 1 || !args[0].equals("drill")) {
+            System.err.println("usage: java -jar kestreldeal.jar drill");
+            System.err.println("  drill   speak the simulator's wire on standard input and output");
+            System.exit(2);
+        }
+        OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
+        PrintStream replies = new PrintStream(out, false, StandardCharsets.UTF_8);
+        System.exit(new Drill(System.in, replies, System.err).run());
+    }
+}
--- /dev/null
+++ b/src/main/java/kestreldeal/Relay.java
@@ -0,0 +1,194 @@
+package kestreldeal;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The decision module's interface: what a sender tells it, what it tells the sender, and the values that
+ * pass.
+ *
+ * <p>Contract. One instance serves one sender and is called from one thread at a time. It has no clock: each
+ * event carries the caller's time in milliseconds, which never goes back. Events between two calls of {@link
+ * #endTurn} form a turn and share one time; new sends are decided in {@code endTurn} only, so that those of
+ * one turn to one endpoint can share a call. {@link Actions} may be called during any event, in the order in
+ * which they are meant; an action must not call back into the instance. Equal settings, seed and events give
+ * equal actions.
+ *
+ * <p>Misuse (an unknown message or attempt, a repeated id, a clock that goes back) throws {@link
+ * IllegalArgumentException} or {@link IllegalStateException}; what may arrive late by nature (a withdrawal of
+ * an ended message, a wake that is no longer needed, a second end of one attempt) is ignored.
+ */
+public interface Relay {
+    /** A new instance, with no state; equal settings, seeds and events give equal actions. */
+    static Relay create(Settings settings, long seed, Actions actions) {
+        return new Logic(settings, seed, actions);
+    }
+
+    /**
+     * The list of endpoints changed: the whole list, or only the entries that differ from the list before.
+     */
+    void endpoints(double now, boolean whole, List<Endpoint> entries);
+
+    /**
+     * The sender has taken a message; exactly one of delivered, refused or failed ends it before its time is
+     * up.
+     */
+    void message(double now, Message message);
+
+    /**
+     * An attempt has ended; each {@link Actions#send} gets exactly one. A delivered end finishes the message
+     * without a further answer from the module.
+     */
+    void attemptEnded(double now, AttemptEnd end);
+
+    /** Nobody waits for this message any more; no answer is owed. */
+    void withdrawn(double now, long message);
+
+    /** A wake asked for by {@link Actions#wakeAt} has come; early and stale ones do no harm. */
+    void wake(double now);
+
+    /** All events of this turn have been told: queued sends are decided now. */
+    void endTurn(double now);
+
+    /** What the module asks of the sender. */
+    interface Actions {
+        /**
+         * Start the next attempt of a message, numbered 0, 1, 2 and so on within it. The time-out counts from
+         * now. Sends of one turn to one endpoint may share a call, up to the kind's batch.
+         */
+        void send(long message, long endpoint, double timeoutMs);
+
+        /** Stop waiting for an attempt that is redundant; its end is still reported. */
+        void cancel(long message, int attempt);
+
+        /** Close this sender's idle connections to an endpoint; its next call opens a new one. */
+        void closeIdle(long endpoint);
+
+        /**
+         * Final: handed back, and trying again is harmless; the client should stay away for the given time.
+         */
+        void refuse(long message, double waitMs);
+
+        /** Final: given up, with no promise about its effect. */
+        void fail(long message);
+
+        /** Call {@link Relay#wake} in a turn at or soon after this time. */
+        void wakeAt(double time);
+
+        /** A line for the people on call. */
+        void log(String text);
+    }
+
+    /** What another attempt of a message may do. */
+    enum Effect {
+        /** Repeating is harmless. */
+        SAFE,
+        /** The destination drops repeats of the key for a time, within a group of endpoints. */
+        KEYED,
+        /** It must not run twice. */
+        UNSAFE
+    }
+
+    /** How an attempt ended. */
+    enum Outcome {
+        /** Delivered. */
+        DELIVERED(false),
+        /** Answered with an error; it may have run. */
+        ERROR(true),
+        /** Turned away unseen: over the limit, queue full or shut. */
+        FULL(false),
+        /** No answer in time; it may have run or still do so. */
+        TIMED_OUT(true),
+        /** No connection was made. */
+        UNREACHABLE(false),
+        /** The connection broke while the attempt was out; it may have run. */
+        BROKEN(true),
+        /** Cancelled; it may have run. */
+        CANCELLED(true),
+        /** Never sent: no slot was free, or the message was over. */
+        NOT_SENT(false);
+
+        private final boolean mayHaveRun;
+
+        Outcome(boolean mayHaveRun) {
+            this.mayHaveRun = mayHaveRun;
+        }
+
+        /** True where the end leaves open whether the message took effect, unless it was delivered. */
+        public boolean mayHaveRun() {
+            return mayHaveRun;
+        }
+    }
+
+    /**
+     * One entry of the list; the endpoints of a destination are the only ones that its messages may go to.
+     */
+    record Endpoint(long id, long destination, int kind, int zone, boolean serving, double listedRate) {
+    }
+
+    /**
+     * A message as it was taken. {@code timeLeftMs} is what is left of its class's deadline; {@code key} is
+     * set for classes that keep an order.
+     */
+    record Message(long id, int messageClass, int tenant, Optional<String> key, double timeLeftMs,
+            long destination) {
+    }
+
+    /**
+     * The end of one attempt. {@code finished} tells that the message needs no further answer; {@code waitMs}
+     * is the wait that a full destination told, or 0.
+     */
+    record AttemptEnd(long message, int attempt, Outcome outcome, double tookMs, boolean finished,
+            double waitMs) {
+    }
+
+    /** What worth falls to after the aim: evenly to the last, or by half with each further aim. */
+    enum Decay {
+        /** Evenly, down to the late worth at the deadline. */
+        LINE,
+        /** By half with each further aim, the late worth at least. */
+        HALVES
+    }
+
+    /**
+     * A class of message; times in milliseconds. {@code sameZone}: repeats are dropped within one zone only.
+     */
+    record MessageClass(double aimMs, double deadlineMs, double worth, double lateWorth, Effect effect,
+                        boolean sameZone, double windowMs, boolean inOrder) {
+    }
+
+    /**
+     * A kind of destination: whether its endpoints are separate routes, and how many messages one call
+     * carries.
+     */
+    record Kind(boolean separateRoutes, int batch) {
+    }
+
+    /**
+     * How a destination that returns from an outage must be treated; see the rule on returning destinations.
+     */
+    record ColdStart(double startCapacity, double warmMs, double overloadMultiple, double overloadMs) {
+    }
+
+    /**
+     * All settings of a deployment and a sender; {@code zoneFees} are by zone, for separate routes, and
+     * {@code ratesListed} tells that the list's rates mean something; a connection without use closes after
+     * {@code keepAliveMs}.
+     */
+    record Settings(List<MessageClass> classes, List<Kind> kinds, boolean ratesListed, Decay decay,
+                    List<Double> zoneFees, int senders, int slots, int maxAttempts, boolean copies,
+                    boolean cancels, double keyRestMs, double keepAliveMs, ColdStart coldStart) {
+        /** Checks what no deployment can mean. */
+        public Settings {
+            if (classes.isEmpty() || kinds.isEmpty()) {
+                throw new IllegalArgumentException("settings need at least one class and one kind");
+            }
+            if (slots < 1 || maxAttempts < 1 || senders < 1) {
+                throw new IllegalArgumentException("slots, attempts and senders must be at least 1");
+            }
+            classes = List.copyOf(classes);
+            kinds = List.copyOf(kinds);
+            zoneFees = List.copyOf(zoneFees);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/Bench.java
@@ -0,0 +1,272 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import kestreldeal.Relay.Effect;
+import kestreldeal.Relay.Outcome;
+
+/** A caller of the module for tests: a clock, recorded actions and, where strict, a check of the rules. */
+final class Bench implements Relay.Actions {
+    private static final double STEP = 5;
+
+    record Sent(long message, int attempt, long endpoint, double at, double timeout) {
+    }
+
+    private record Due(double at, long number, Runnable event) {
+    }
+
+    final List<Sent> sends = new ArrayList<>();
+    final List<String> cancels = new ArrayList<>();
+    final List<Long> closes = new ArrayList<>();
+    final List<String> answers = new ArrayList<>();
+    final List<Double> wakes = new ArrayList<>();
+    final Relay relay;
+    Consumer<Sent> onSend = s -> { };
+    boolean strict;
+    double listedRate;
+    double now;
+
+    private final PriorityQueue<Due> due =
+            new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::number));
+    private final Map<Long, Relay.Message> messages = new HashMap<>();
+    private final Map<Long, Integer> attempts = new HashMap<>();
+    private final Map<Long, Relay.Endpoint> endpoints = new HashMap<>();
+    private final Map<String, Outcome> ends = new HashMap<>();
+    private final Set<Long> over = new HashSet<>();
+    private final Map<String, List<Long>> byKey = new HashMap<>();
+    private long count;
+
+    Bench() {
+        this(10);
+    }
+
+    Bench(int slots) {
+        this(slots, 2);
+    }
+
+    Bench(int slots, int senders) {
+        this(slots, senders, 7);
+    }
+
+    Bench(int slots, int senders, long seed) {
+        List<Relay.Kind> kinds =
+                List.of(new Relay.Kind(false, 1), new Relay.Kind(false, 5), new Relay.Kind(true, 1));
+        Relay.Settings settings = new Relay.Settings(LogicTest.CLASSES, kinds, true, Relay.Decay.LINE,
+                List.of(0.0, 0.06), senders, slots, 12, true, true, 500, 15_000,
+                new Relay.ColdStart(0.2, 12_000, 2, 1500));
+        relay = Relay.create(settings, seed, this);
+    }
+
+    Bench list(long destination, long... ids) {
+        for (long id : ids) {
+            entry(id, destination, 0, 0, true);
+        }
+        return this;
+    }
+
+    Bench entry(long id, long destination, int kind, int zone, boolean serving) {
+        Relay.Endpoint entry = new Relay.Endpoint(id, destination, kind, zone, serving, listedRate);
+        endpoints.put(id, entry);
+        relay.endpoints(now, false, List.of(entry));
+        relay.endTurn(now);
+        return this;
+    }
+
+    void take(long id, int type, long destination) {
+        take(id, type, destination, "key " + id);
+    }
+
+    void take(long id, int type, long destination, String key) {
+        handIn(id, type, destination, key);
+        relay.endTurn(now);
+    }
+
+    void takeTogether(int many, int type, long destination) {
+        for (long id = 1; id <= many; id++) {
+            handIn(id, type, destination, "key " + id);
+        }
+        relay.endTurn(now);
+    }
+
+    /** One message each so many milliseconds, numbered on from those taken before, until that time. */
+    void takeEvery(double gap, int type, long destination, double end) {
+        while (now < end) {
+            take(messages.size(), type, destination);
+            until(now + gap);
+        }
+    }
+
+    private void handIn(long id, int type, long destination, String key) {
+        Relay.Message m = new Relay.Message(id, type, 0, Optional.of(key), 16_000, destination);
+        relay.message(now, m);
+        messages.put(id, m);
+        if (LogicTest.CLASSES.get(type).inOrder()) {
+            byKey.computeIfAbsent(key, k -> new ArrayList<>()).add(id);
+        }
+    }
+
+    void end(long message, int attempt, Outcome outcome) {
+        end(message, attempt, outcome, 0);
+    }
+
+    void end(long message, int attempt, Outcome outcome, double waitMs) {
+        boolean finished = outcome == Outcome.DELIVERED || over.contains(message);
+        ends.put(message + "/" + attempt, outcome);
+        if (outcome == Outcome.DELIVERED) {
+            over.add(message);
+        }
+        relay.attemptEnded(now, new Relay.AttemptEnd(message, attempt, outcome, 10, finished, waitMs));
+        relay.endTurn(now);
+    }
+
+    void endLater(Sent s, Outcome outcome, double took) {
+        at(now + took, () -> {
+            if (!ends.containsKey(s.message + "/" + s.attempt)) {
+                end(s.message, s.attempt, outcome);
+            }
+        });
+    }
+
+    void withdraw(long id) {
+        over.add(id);
+        relay.withdrawn(now, id);
+        relay.endTurn(now);
+    }
+
+    void at(double time, Runnable event) {
+        due.add(new Due(time, count++, event));
+    }
+
+    /** Lets time pass up to this moment, in steps of the caller's tick. */
+    void until(double end) {
+        while (now + STEP <= end) {
+            now += STEP;
+            while (!due.isEmpty() && due.peek().at <= now) {
+                due.remove().event.run();
+            }
+        }
+    }
+
+    long delivered() {
+        return ends.values().stream().filter(o -> o == Outcome.DELIVERED).count();
+    }
+
+    List<Long> sent() {
+        return sends.stream().map(Sent::message).toList();
+    }
+
+    void allAnswered() {
+        for (long id : messages.keySet()) {
+            assertTrue(over.contains(id), "message " + id + " got no answer");
+        }
+    }
+
+    @Override
+    public void send(long message, long endpoint, double timeoutMs) {
+        int attempt = attempts.merge(message, 1, Integer::sum) - 1;
+        Sent s = new Sent(message, attempt, endpoint, now, timeoutMs);
+        if (strict) {
+            check(s);
+        }
+        sends.add(s);
+        onSend.accept(s);
+    }
+
+    private void check(Sent s) {
+        Relay.Message m = messages.get(s.message);
+        Relay.MessageClass type = LogicTest.CLASSES.get(m.messageClass());
+        assertFalse(over.contains(s.message), "sent after the end");
+        assertTrue(endpoints.get(s.endpoint).serving(), "sent to a draining endpoint");
+        assertEquals(m.destination(), endpoints.get(s.endpoint).destination());
+        for (Sent earlier : sends) {
+            if (earlier.message != s.message) {
+                continue;
+            }
+            Outcome outcome = ends.get(earlier.message + "/" + earlier.attempt);
+            if (outcome != null && !outcome.mayHaveRun()) {
+                continue;
+            }
+            assertFalse(type.effect() == Effect.UNSAFE, "an unsafe message may have run twice");
+            if (type.effect() == Effect.KEYED) {
+                assertTrue(now <= earlier.at + type.windowMs(), "outside the window");
+                assertTrue(!type.sameZone()
+                        || endpoints.get(earlier.endpoint).zone() == endpoints.get(s.endpoint).zone());
+            }
+        }
+        if (type.inOrder()) {
+            for (long other : byKey.get(m.key().orElseThrow())) {
+                if (other == s.message) {
+                    break;
+                }
+                assertTrue(over.contains(other), "an earlier message of the key is unfinished");
+                for (int i = 0; i < attempts.getOrDefault(other, 0); i++) {
+                    assertTrue(ends.containsKey(other + "/" + i), "an earlier attempt of the key is out");
+                }
+            }
+        }
+    }
+
+    @Override
+    public void cancel(long message, int attempt) {
+        cancels.add(message + "/" + attempt);
+        if (strict) {
+            at(now, () -> {
+                if (!ends.containsKey(message + "/" + attempt)) {
+                    end(message, attempt, Outcome.CANCELLED);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void closeIdle(long endpoint) {
+        closes.add(endpoint);
+    }
+
+    @Override
+    public void refuse(long message, double waitMs) {
+        if (strict) {
+            Effect effect = LogicTest.CLASSES.get(messages.get(message).messageClass()).effect();
+            for (int i = 0; effect == Effect.UNSAFE && i < attempts.getOrDefault(message, 0); i++) {
+                assertFalse(ends.get(message + "/" + i).mayHaveRun(), "refused though it may have run");
+            }
+        }
+        answer("refuse ", message);
+    }
+
+    @Override
+    public void fail(long message) {
+        answer("fail ", message);
+    }
+
+    private void answer(String what, long message) {
+        assertTrue(over.add(message), "a second answer");
+        answers.add(what + message);
+    }
+
+    @Override
+    public void wakeAt(double time) {
+        wakes.add(time);
+        at(Math.max(time, now + 0.001), () -> {
+            relay.wake(now);
+            relay.endTurn(now);
+        });
+    }
+
+    @Override
+    public void log(String text) {
+        assertFalse(text.isBlank());
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -0,0 +1,632 @@
+package kestreldeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import kestreldeal.Relay.Effect;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The module's behaviour, through its interface. Class 0 is safe, 1 keyed, 2 unsafe and in order, 3 keyed by
+ * zone.
+ */
+class LogicTest {
+    private static final int SAFE = 0;
+    private static final int KEYED = 1;
+    private static final int UNSAFE = 2;
+    private static final int BY_ZONE = 3;
+
+    // ---- the wave ----
+
+    @Test
+    void aWakeThatComesAMomentEarlyIsAskedForAgain() {
+        Bench b = new Bench();
+        b.take(1, SAFE, 1);
+        b.until(15_990);
+        int asked = b.wakes.size();
+        b.now = b.wakes.get(asked - 1) - 0.0004;
+        b.relay.wake(b.now);
+        b.relay.endTurn(b.now);
+        assertEquals(asked + 1, b.wakes.size());
+    }
+
+    @Test
+    void aCopyJoinsAtHalfTheAimOnAnotherEndpoint() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, SAFE, 1);
+        b.until(990);
+        assertEquals(1, b.sends.size());
+        b.until(1010);
+        assertEquals(2, b.sends.size());
+        assertFalse(b.sends.get(0).endpoint() == b.sends.get(1).endpoint());
+    }
+
+    @Test
+    void aCopyGoesToTheOnlyEndpointWhereThereIsNoOther() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, SAFE, 1);
+        b.until(1010);
+        assertEquals(2, b.sends.size());
+    }
+
+    @Test
+    void theFirstDeliveryCancelsTheRest() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, SAFE, 1);
+        b.until(1010);
+        b.end(1, 1, Outcome.DELIVERED);
+        assertEquals(List.of("1/0"), b.cancels);
+        b.end(1, 0, Outcome.CANCELLED);
+        b.until(20_000);
+        assertEquals(2, b.sends.size());
+        assertTrue(b.answers.isEmpty());
+    }
+
+    @Test
+    void noNewWaveWhileAnAttemptIsOut() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, SAFE, 1);
+        b.until(1010);
+        b.end(1, 0, Outcome.ERROR);
+        b.until(1900);
+        assertEquals(2, b.sends.size());
+        b.end(1, 1, Outcome.ERROR);
+        b.until(2600);
+        assertEquals(3, b.sends.size());
+    }
+
+    @Test
+    void theStarterAllowsOneCopyAndATenthOfFirstSends() {
+        Bench b = new Bench();
+        for (int i = 0; i < 5; i++) {
+            b.list(i, 10 + 2 * i, 11 + 2 * i);
+        }
+        for (int i = 0; i < 5; i++) {
+            b.take(i, SAFE, i);
+        }
+        b.until(1900);
+        assertEquals(6, b.sends.size(), "five first sends allow 1.5 copies, so one");
+    }
+
+    @Test
+    void noCopyWithoutAFreeSlot() {
+        Bench b = new Bench(2);
+        b.list(1, 10, 11);
+        b.list(2, 20);
+        b.take(1, SAFE, 1);
+        b.take(2, SAFE, 2);
+        b.until(1900);
+        assertEquals(2, b.sends.size());
+    }
+
+    @Test
+    void anUnsafeMessageDoesNotRace() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, UNSAFE, 1);
+        b.until(5000);
+        assertEquals(1, b.sends.size());
+    }
+
+    @Test
+    void quickErrorsDoNotBurnAllAttempts() {
+        Bench b = new Bench().list(1, 10);
+        b.onSend = s -> b.endLater(s, Outcome.ERROR, 10);
+        b.take(1, SAFE, 1);
+        b.until(1000);
+        assertTrue(b.sends.size() >= 2 && b.sends.size() <= 5, "sends " + b.sends.size());
+    }
+
+    // ---- the rules ----
+
+    @Test
+    void everyMessageIsAnsweredOnceBeforeItsTimeIsUp() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, SAFE, 9);
+        b.take(2, UNSAFE, 1);
+        b.until(15_990);
+        assertTrue(b.answers.isEmpty());
+        b.until(16_020);
+        assertEquals(List.of("refuse 1"), b.answers, "nothing ran; the other is still out");
+        b.end(2, 0, Outcome.TIMED_OUT);
+        assertEquals(List.of("refuse 1", "fail 2"), b.answers);
+        b.until(40_000);
+        assertEquals(2, b.answers.size());
+        assertEquals(1, b.sends.size());
+    }
+
+    @Test
+    void anUnsafeMessageGoesAgainOnlyWithProofThatItNeverRan() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, UNSAFE, 1);
+        b.end(1, 0, Outcome.UNREACHABLE);
+        b.until(1000);
+        assertEquals(2, b.sends.size());
+        b.end(1, 1, Outcome.ERROR);
+        assertEquals(List.of("fail 1"), b.answers);
+        b.until(20_000);
+        assertEquals(2, b.sends.size());
+    }
+
+    @Test
+    void aKeyedMessageIsNotRepeatedOutsideItsWindow() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, KEYED, 1);
+        b.until(4000);
+        int sent = b.sends.size();
+        for (int i = 0; i < sent; i++) {
+            b.end(1, i, Outcome.TIMED_OUT);
+        }
+        b.until(16_100);
+        assertEquals(sent, b.sends.size());
+        assertEquals(1, b.answers.size());
+    }
+
+    @Test
+    void aKeyedMessageStaysInTheZoneThatMayHaveRunIt() {
+        Bench b = new Bench();
+        b.entry(10, 1, 0, 0, true).entry(11, 1, 0, 1, true);
+        b.take(1, BY_ZONE, 1);
+        long first = b.sends.get(0).endpoint();
+        b.until(1010);
+        b.end(1, 0, Outcome.TIMED_OUT);
+        b.until(3000);
+        assertTrue(b.sends.size() >= 2);
+        assertTrue(b.sends.stream().allMatch(s -> s.endpoint() == first));
+    }
+
+    @Test
+    void aFailureByZoneIsNeverARefusal() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, BY_ZONE, 1);
+        b.onSend = s -> b.endLater(s, Outcome.ERROR, 5);
+        b.end(1, 0, Outcome.ERROR);
+        b.until(16_100);
+        assertEquals(List.of("fail 1"), b.answers);
+    }
+
+    @Test
+    void nothingNewGoesToADrainingOrGoneEndpoint() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, SAFE, 1);
+        b.end(1, 0, Outcome.ERROR);
+        b.entry(10, 1, 0, 0, false);
+        b.until(5000);
+        assertEquals(1, b.sends.size());
+        b.relay.endpoints(b.now, true, List.of());
+        b.take(2, SAFE, 1);
+        b.until(6000);
+        assertEquals(1, b.sends.size());
+    }
+
+    @Test
+    void aToldWaitStopsEverySendThere() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, SAFE, 1);
+        b.end(1, 0, Outcome.FULL, 700);
+        b.take(2, UNSAFE, 1);
+        b.take(3, KEYED, 1);
+        b.until(700);
+        assertEquals(1, b.sends.size());
+        b.until(4000);
+        assertTrue(b.sends.size() > 1);
+    }
+
+    /** Found on menu-delivery big-2: only the first message's wait of a shared call was kept. */
+    @Test
+    void eachMessageOfACallMayBeToldItsOwnWait() {
+        Bench b = new Bench().entry(10, 1, 1, 0, true);
+        b.takeTogether(2, SAFE, 1);
+        b.end(1, 0, Outcome.FULL, 0);
+        b.end(2, 0, Outcome.FULL, 3000);
+        b.until(3000);
+        assertEquals(2, b.sends.size());
+    }
+
+    @Test
+    void aToldWaitBindsOneRouteWhereRoutesAreSeparate() {
+        Bench b = new Bench().entry(10, 1, 2, 0, true).entry(11, 1, 2, 0, true);
+        b.take(1, SAFE, 1);
+        b.end(1, 0, Outcome.FULL, 5000);
+        b.until(900);
+        assertEquals(2, b.sends.size());
+        assertFalse(b.sends.get(0).endpoint() == b.sends.get(1).endpoint());
+    }
+
+    @Test
+    void messagesOfOneKeyGoOneAtATimeAsTakenAndRestAfterADoubtfulEnd() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, UNSAFE, 1, "k");
+        b.take(2, UNSAFE, 1, "k");
+        b.take(3, UNSAFE, 1, "other");
+        assertEquals(List.of(1L, 3L), b.sent());
+        b.end(1, 0, Outcome.TIMED_OUT);
+        b.until(490);
+        assertEquals(List.of(1L, 3L), b.sent());
+        b.until(600);
+        assertEquals(List.of(1L, 3L, 2L), b.sent());
+    }
+
+    @Test
+    void aWithdrawnMessageWithAnOpenAttemptStillHoldsItsKey() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.take(1, UNSAFE, 1, "k");
+        b.take(2, UNSAFE, 1, "k");
+        b.relay.withdrawn(b.now, 1);
+        b.until(300);
+        assertEquals(List.of(1L), b.sent());
+        b.end(1, 0, Outcome.DELIVERED);
+        assertEquals(List.of(1L, 2L), b.sent());
+    }
+
+    // ---- pace and health ----
+
+    @Test
+    void aRefusalPacesTheDestinationAndDeliveriesQuickenIt() {
+        Bench b = new Bench(100).list(1, 10);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 5);
+        for (int i = 0; i < 8; i++) {
+            b.take(i, SAFE, 1);
+        }
+        b.until(100);
+        assertEquals(8, b.sends.size(), "no pace before the first refusal");
+        b.onSend = s -> { };
+        b.take(50, SAFE, 1);
+        b.end(50, 0, Outcome.FULL);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 5);
+        for (int i = 100; i < 160; i++) {
+            b.take(i, SAFE, 1);
+        }
+        double start = b.now;
+        b.until(start + 1000);
+        int early = b.sends.size() - 9;
+        assertTrue(early >= 4 && early <= 16, "paced, sent " + early);
+        b.until(start + 4000);
+        assertTrue(b.sends.size() - 9 > 5 * early, "creeps back");
+    }
+
+    @Test
+    void aSilentEndpointGetsSingleTrialsNotItsBacklog() {
+        Bench b = new Bench(100).list(1, 10);
+        for (int i = 0; i < 40; i++) {
+            b.take(i, SAFE, 1);
+            b.until(b.now + 100);
+        }
+        int before = b.sends.size();
+        b.until(b.now + 4000);
+        assertTrue(b.sends.size() <= before + 3, "sent " + (b.sends.size() - before));
+    }
+
+    /** Found in incident ia7b522: an endpoint that takes seconds but answers was held for silent. */
+    @Test
+    void aSlowAnswerEndsASilence() {
+        Bench b = new Bench(100).list(1, 10);
+        b.take(1, UNSAFE, 1);
+        b.take(2, UNSAFE, 1);
+        b.until(1500);
+        b.take(3, UNSAFE, 1);
+        assertEquals(2, b.sends.size(), "silent: no backlog");
+        b.end(1, 0, Outcome.DELIVERED);
+        assertEquals(3, b.sends.size());
+    }
+
+    @Test
+    void aReturningDestinationIsNotPushedOver() {
+        Bench b = new Bench(100).list(1, 10);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 20);
+        b.takeEvery(100, SAFE, 1, 20_000);
+        b.onSend = s -> b.endLater(s, Outcome.UNREACHABLE, 20);
+        b.takeEvery(100, SAFE, 1, 30_000);
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 20);
+        b.takeEvery(100, SAFE, 1, 45_000);
+        for (double from = 30_000; from + 1500 <= 42_000; from += 250) {
+            double end = from + 1500;
+            double capacity = 10 * 1.5 * (0.2 + 0.8 * Math.min(1, (from - 30_000) / 12_000));
+            long sent = b.sends.stream().filter(s -> s.at() >= end - 1500 && s.at() < end).count();
+            assertTrue(sent <= 2 * capacity, "sent " + sent + " from " + from);
+        }
+    }
+
+    /** Found in incident if1c477: single resets kept an endpoint on its ramp for ever. */
+    @Test
+    void aLostCallNowAndThenDoesNotHoldBackAnEndpoint() {
+        Bench b = new Bench(100).list(1, 10);
+        b.onSend = s -> b.endLater(s, b.sends.size() % 4 == 0 ? Outcome.BROKEN : Outcome.DELIVERED, 20);
+        b.takeEvery(200, SAFE, 1, 30_000);
+        long last = b.sends.stream().filter(s -> s.at() > 20_000).count();
+        assertTrue(last >= 50, "sends in the last ten seconds: " + last);
+    }
+
+    /**
+     * Found on menu-delivery rough-2: beside a healthy route, one that had been down was never tried again.
+     */
+    @Test
+    void anEndpointThatIsDownIsTriedAlsoBesideAHealthyOne() {
+        Bench b = new Bench(100).list(1, 10, 11);
+        b.onSend = s -> b.endLater(s, s.endpoint() == 10 && b.now < 5000 ? Outcome.UNREACHABLE
+                : Outcome.DELIVERED, 20);
+        b.takeEvery(100, SAFE, 1, 40_000);
+        assertTrue(b.sends.stream().filter(s -> s.endpoint() == 10 && s.at() > 30_000).count() > 10);
+    }
+
+    /** Found in incident ia7b522: a few slow destinations held every slot. */
+    /** Found in incident i1afe34: at three slots a sender, slow destinations held two each. */
+    @Test
+    void aDestinationHoldsOneOfThreeSlots() {
+        Bench b = new Bench(3).list(1, 10).list(2, 20);
+        b.take(1, SAFE, 1);
+        b.take(2, SAFE, 1);
+        b.take(3, SAFE, 2);
+        assertEquals(List.of(1L, 3L), b.sent());
+        b.end(1, 0, Outcome.DELIVERED);
+        assertEquals(List.of(1L, 3L, 2L), b.sent());
+    }
+
+    @Test
+    void aDestinationLeavesSlotsForOthers() {
+        Bench b = new Bench(10).list(1, 10).list(2, 20);
+        for (long id = 0; id < 20; id++) {
+            b.take(id, SAFE, 1);
+        }
+        assertEquals(5, b.sends.size());
+        b.take(50, SAFE, 2);
+        assertEquals(6, b.sends.size());
+    }
+
+    /**
+     * Found in incident i119abc: with nothing carried before the outage the ramp was one call in seven
+     * seconds.
+     */
+    @Test
+    void anOutageAtTheStartIsRampedOnTheMessagesTaken() {
+        Bench b = new Bench(100).list(1, 10);
+        b.onSend = s -> b.endLater(s, b.now < 6000 ? Outcome.UNREACHABLE : Outcome.DELIVERED, 20);
+        b.takeEvery(200, SAFE, 1, 14_000);
+        long sent = b.sends.stream().filter(s -> s.at() > 8000).count();
+        assertTrue(sent >= 10, "sent in six seconds: " + sent);
+    }
+
+    /** Found in incident i8f4fa9: between told waits the pace grew to forty times what was sent. */
+    @Test
+    void thePaceSettlesNearALimitThatTellsWaits() {
+        Bench b = new Bench(100).list(1, 10);
+        double[] room = {2, 0};
+        b.onSend = s -> {
+            room[0] = Math.min(2, room[0] + (b.now - room[1]) * 5 / 1000);
+            room[1] = b.now;
+            boolean taken = room[0] >= 1;
+            room[0] -= taken ? 1 : 0;
+            b.at(b.now + 20, () -> b.end(s.message(), s.attempt(), taken ? Outcome.DELIVERED : Outcome.FULL,
+                    taken ? 0 : 2000));
+        };
+        b.takeEvery(125, SAFE, 1, 60_000);
+        long taken = b.delivered();
+        assertTrue(taken >= 0.6 * 5 * 60, "delivered in a minute at five a second: " + taken);
+    }
+
+    /** Found in incident i40f4ff: eight senders sat on their floors for long after the refusals had ended. */
+    @Test
+    void aPaceAmongManySendersRecoversWhenRefusalsEnd() {
+        Bench b = new Bench(100, 8);
+        b.listedRate = 16;
+        b.list(1, 10);
+        b.onSend = s -> b.endLater(s, b.now < 8000 && b.sends.size() % 3 > 0 ? Outcome.FULL
+                : Outcome.DELIVERED, 20);
+        b.takeEvery(400, SAFE, 1, 40_000);
+        long late = b.sends.stream().filter(s -> s.at() > 20_000 && s.at() < 30_000).count();
+        assertTrue(late >= 22, "sent in ten seconds: " + late);
+    }
+
+    /** Found in incident ie9f35c: each of eleven senders kept its own floor of pace at a shut destination. */
+    @Test
+    void theFloorOfThePaceFollowsTheSendersOwnPartOfTheLoad() {
+        Bench b = new Bench(100, 11).list(1, 10);
+        b.onSend = s -> b.endLater(s, Outcome.FULL, 5);
+        b.takeEvery(500, SAFE, 1, 10_000);
+        long sent = b.sends.stream().filter(s -> s.at() > 2000).count();
+        assertTrue(sent <= 8, "sent in eight seconds: " + sent);
+    }
+
+    /** Found on akl-order-route: few senders fell under their even part of a listed rate after refusals. */
+    @Test
+    void aListedRateKeepsThePaceFromFallingFarUnderTheEvenPart() {
+        Bench b = new Bench(100, 2);
+        b.listedRate = 8;
+        b.list(1, 10);
+        b.onSend = s -> b.endLater(s, b.sends.size() % 3 > 0 ? Outcome.FULL : Outcome.DELIVERED, 20);
+        b.takeEvery(500, SAFE, 1, 20_000);
+        long sent = b.sends.stream().filter(s -> s.at() > 5000 && s.at() < 15_000).count();
+        assertTrue(sent >= 15, "sent in ten seconds: " + sent);
+    }
+
+    /** Found on menu-delivery-later: at two hundred senders a floor divided among them was a call a minute. */
+    @Test
+    void aSmallSendersRefusedMessageGoesAgainWithinASecond() {
+        Bench b = new Bench(3, 200).list(1, 10);
+        b.onSend = s -> b.endLater(s, s.attempt() == 0 ? Outcome.FULL : Outcome.DELIVERED, 5);
+        for (int id = 1; id <= 3; id++) {
+            b.take(id, SAFE, 1);
+            b.until(id * 15_000 + 1000);
+            assertEquals(id, b.delivered());
+            b.until(id * 15_000 + 15_000);
+        }
+    }
+
+    /** Found on menu-delivery-later: senders told to wait until it opened came back all at that moment. */
+    @Test
+    void sendersToldToWaitForOneMomentDoNotComeBackAtOnce() {
+        int early = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            Bench b = new Bench(3, 200, seed).list(1, 10);
+            b.take(1, SAFE, 1);
+            b.end(1, 0, Outcome.FULL, 8000);
+            b.until(9000);
+            early += b.sends.size() - 1;
+        }
+        assertTrue(early <= 8, "of forty senders back within a second: " + early);
+    }
+
+    /** Found on menu-delivery-later: a hung endpoint refused most calls, and was tried until it fell over. */
+    @Test
+    void refusalsAndLostCallsTogetherTakeAnEndpointDown() {
+        Bench b = new Bench(3, 200).list(1, 10);
+        b.onSend = s -> b.endLater(s, b.sends.size() % 3 > 0 ? Outcome.FULL : Outcome.ERROR, 300);
+        b.takeEvery(2000, SAFE, 1, 20_000);
+        long late = b.sends.stream().filter(s -> s.at() > 6000).count();
+        assertTrue(late <= 2, "sent to an endpoint that never delivers: " + late);
+    }
+
+    /** Found on menu-delivery-later: refused calls used up the limit, and new tries kept it used up for good. */
+    @Test
+    void newTriesOfRefusedMessagesAreAShareOfFirstSends() {
+        Bench b = new Bench(100, 50);
+        for (long destination = 0; destination < 100; destination++) {
+            b.list(destination, destination);
+        }
+        b.onSend = s -> b.endLater(s, Outcome.FULL, 5);
+        for (long id = 0; id < 100; id++) {
+            b.take(id, SAFE, id);
+            b.until(b.now + 100);
+        }
+        assertTrue(b.sends.size() <= 132, "sends of a hundred messages: " + b.sends.size());
+        assertTrue(b.sends.size() >= 120, "sends of a hundred messages: " + b.sends.size());
+    }
+
+    @Test
+    void messagesOfOneTurnShareACallAndItsSlot() {
+        Bench b = new Bench(1).entry(10, 1, 1, 0, true);
+        b.takeTogether(5, SAFE, 1);
+        assertEquals(5, b.sends.size());
+    }
+
+    @Test
+    void aCheaperRouteIsPreferred() {
+        Bench b = new Bench().entry(10, 1, 2, 1, true).entry(11, 1, 2, 0, true);
+        b.take(1, SAFE, 1);
+        assertEquals(11, b.sends.get(0).endpoint());
+    }
+
+    /** Found by hunt --rules on menu-delivery-later: senders kept to a hung route beside one that served. */
+    @Test
+    void anEndpointWhoseLastEndWasFruitlessYieldsToItsSibling() {
+        Bench b = new Bench().entry(10, 1, 2, 0, true).entry(11, 1, 2, 1, true);
+        b.take(1, UNSAFE, 1);
+        b.end(1, 0, Outcome.DELIVERED);
+        b.take(2, UNSAFE, 1);
+        assertEquals(10, b.sends.get(1).endpoint());
+        b.end(2, 0, Outcome.FULL);
+        b.until(2000);
+        b.take(3, UNSAFE, 1);
+        assertEquals(List.of(11L, 11L), b.sends.stream().skip(2).map(Bench.Sent::endpoint).toList());
+    }
+
+    /** Found on ensemble-bokning-later and menu-delivery-later: connections were dropped unseen when idle. */
+    @Test
+    void afterLossesOnIdleConnectionsAtTwoDestinationsOthersAreClosedBeforeUse() {
+        Bench b = new Bench().list(1, 10).list(2, 20).list(3, 30);
+        for (long id = 1; id <= 3; id++) {
+            b.take(id, UNSAFE, id);
+            b.end(id, 0, Outcome.DELIVERED);
+        }
+        b.until(4000);
+        for (long id = 4; id <= 5; id++) {
+            b.take(id, UNSAFE, id - 3);
+            b.end(id, 0, Outcome.BROKEN);
+            assertTrue(b.closes.isEmpty());
+        }
+        b.take(6, UNSAFE, 3);
+        assertEquals(List.of(30L), b.closes);
+        assertEquals(6, b.sends.size());
+    }
+
+    @Test
+    void aFreshInstanceSendsAtOnce() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, UNSAFE, 1);
+        assertEquals(1, b.sends.size());
+    }
+
+    // ---- misuse ----
+
+    @Test
+    void misuseThrowsAndLateEventsAreIgnored() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, SAFE, 1);
+        assertThrows(IllegalArgumentException.class, () -> b.end(7, 0, Outcome.DELIVERED));
+        assertThrows(IllegalArgumentException.class, () -> b.end(1, 3, Outcome.DELIVERED));
+        assertThrows(IllegalArgumentException.class, () -> b.take(1, SAFE, 1));
+        assertThrows(IllegalArgumentException.class, () -> b.take(2, 17, 1));
+        assertThrows(IllegalArgumentException.class, () -> b.relay.wake(b.now - 1));
+        b.relay.withdrawn(b.now, 99);
+        b.relay.wake(b.now);
+    }
+
+    // ---- a random sequence against all rules ----
+
+    @Test
+    void randomEventsKeepTheRules() {
+        for (int seed = 0; seed < 30; seed++) {
+            new RandomDay(seed).run();
+        }
+    }
+
+    /** A seeded day of random ends, drains and withdrawals; the recorder checks the rules at each action. */
+    private static final class RandomDay {
+        private final Random random;
+        private final Bench b;
+
+        RandomDay(int seed) {
+            random = new Random(seed);
+            b = new Bench(4 + seed % 5);
+            b.strict = true;
+        }
+
+        void run() {
+            for (int d = 0; d < 4; d++) {
+                b.entry(10 * d, d, d % 3, 0, true).entry(10 * d + 1, d, d % 3, 1, true);
+            }
+            Outcome[] outcomes = Outcome.values();
+            b.onSend = s -> {
+                Outcome outcome = random.nextInt(3) > 0 ? Outcome.DELIVERED : outcomes[random.nextInt(6)];
+                double took = outcome == Outcome.TIMED_OUT ? s.timeout() : Math.min(s.timeout(),
+                        random.nextInt(1500));
+                b.endLater(s, outcome, took);
+            };
+            for (long id = 0; id < 300; id++) {
+                int type = random.nextInt(4);
+                b.take(id, type, random.nextInt(4), "k" + random.nextInt(5));
+                b.until(b.now + random.nextInt(120));
+                if (random.nextInt(40) == 0) {
+                    int d = random.nextInt(4);
+                    b.entry(10 * d, d, d % 3, 0, random.nextBoolean());
+                }
+                if (random.nextInt(50) == 0) {
+                    b.withdraw(random.nextInt((int) id + 1));
+                }
+            }
+            b.until(b.now + 40_000);
+            b.allAnswered();
+        }
+    }
+
+    // ---- the module's size ----
+
+    @Test
+    void theModuleStaysSmall() throws Exception {
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/kestreldeal/Logic.java"));
+        assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850);
+        assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
+    }
+
+    static final List<Relay.MessageClass> CLASSES = List.of(
+            new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.SAFE, false, 0, false),
+            new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, false, 4000, false),
+            new Relay.MessageClass(2000, 16_000, 4, 0.3, Effect.UNSAFE, false, 0, true),
+            new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, true, 15_000, false));
+}
