--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -53,7 +53,6 @@
     private final int mostIdle;
     private final Map<Long, Peer> peers = new HashMap<>();
     private int idle;
-    private int out;
 
     Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
         this.loop = loop;
@@ -84,7 +83,6 @@
     /** Starts a call; its end is told once, within the time-out or soon after. */
     Call call(Held held, int attempt, long endpoint, double timeoutMs) {
         Call call = new Call(held, attempt, peers.get(endpoint), timeoutMs);
-        out++;
         call.timer = loop.schedule(call::timedOut, (long) Math.ceil(timeoutMs * 1000), TimeUnit.MICROSECONDS);
         Connection kept = call.peer.newestIdle();
         if (kept != null) {
@@ -108,9 +106,9 @@
         }
     }
 
-    /** Calls that have no end yet. */
-    int out() {
-        return out;
+    /** Idle connections that are kept. */
+    int kept() {
+        return idle;
     }
 
     /** Closes what an endpoint would soon close itself: a call that crosses its close would be lost. */
@@ -218,7 +216,6 @@
                 return;
             }
             done = true;
-            out--;
             // Never at once: an end may be found while the module is being called.
             loop.execute(() -> ends.ended(this, outcome, gone, waitMs));
         }
--- /dev/null
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -0,0 +1,188 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import kestreldeal.Relay.Outcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Each row of the protocol's table of outcomes, and the connections that calls go over. */
+class EndpointsTest {
+    private static final double LONG_MS = 20_000;
+
+    private record End(Outcome outcome, boolean gone, double waitMs) {
+    }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
+    private Endpoints endpoints;
+    private Stub stub;
+
+    @BeforeEach
+    void open() throws Exception {
+        stub = new Stub(Stub.status(200, ""));
+        endpoints = new Endpoints(loop, 1000, 15_000, 4,
+                (call, outcome, gone, waitMs) -> ends.add(new End(outcome, gone, waitMs)));
+        at(stub.address());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        stub.close();
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    private void at(InetSocketAddress address) {
+        loop.submit(() -> endpoints.at(1, address, true)).syncUninterruptibly();
+    }
+
+    private Endpoints.Call start(byte[] body, double timeoutMs) throws Exception {
+        Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), 7, 0, body);
+        return loop.submit(() -> endpoints.call(held, 0, 1, timeoutMs)).get();
+    }
+
+    private End end() throws Exception {
+        return ends.poll(30, TimeUnit.SECONDS);
+    }
+
+    private End call(Stub.Script script) throws Exception {
+        stub.script(script);
+        start(new byte[] {'b', 'o', 'd', 'y'}, LONG_MS);
+        return end();
+    }
+
+    private void expect(Outcome outcome, Stub.Script script) throws Exception {
+        assertEquals(new End(outcome, false, 0), call(script));
+    }
+
+    @Test
+    void idKeyBodyAndBudgetGoOn() throws Exception {
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        Stub.Message m = stub.requests.get(0);
+        assertEquals("POST /v1/messages HTTP/1.1", m.line());
+        assertEquals("id-1", m.header("X-Call-Id"));
+        assertEquals("key-1", m.header("Idempotency-Key"));
+        assertEquals("20000", m.header("X-Budget-Ms"));
+        assertEquals("body", m.body());
+    }
+
+    @Test
+    void statusesMeanWhatTheTableSays() throws Exception {
+        expect(Outcome.ERROR, Stub.status(500, ""));
+        assertEquals(new End(Outcome.FULL, false, 1250), call(Stub.status(429, "Retry-After: 1.25\r\n")));
+        expect(Outcome.FULL, Stub.status(503, ""));
+        expect(Outcome.NOT_SENT, Stub.status(503, "X-No-Slot: 1\r\n"));
+        expect(Outcome.NOT_SENT, Stub.status(504, ""));
+        assertEquals(new End(Outcome.NOT_SENT, true, 0), call(Stub.status(410, "")));
+    }
+
+    @Test
+    void aConnectionThatBreaksAfterTheLastByteIsBroken() throws Exception {
+        expect(Outcome.BROKEN, (request, socket) -> socket.close());
+        expect(Outcome.BROKEN, (request, socket) -> socket.shutdownOutput());
+        expect(Outcome.BROKEN, (request, socket) -> Stub.write(socket, "not HTTP at all\r\n\r\n"));
+        assertEquals(3, stub.requests.size(), "each was sent once");
+    }
+
+    @Test
+    void aRefusedConnectionIsUnreachable() throws Exception {
+        ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        InetSocketAddress address = (InetSocketAddress) unused.getLocalSocketAddress();
+        unused.close();
+        at(address);
+        start(new byte[1], LONG_MS);
+        assertEquals(new End(Outcome.UNREACHABLE, false, 0), end());
+    }
+
+    @Test
+    void aConnectionThatBreaksBeforeTheLastByteIsUnreachable() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            at((InetSocketAddress) full.getLocalSocketAddress());
+            start(new byte[64 << 20], LONG_MS);
+            try (Socket socket = full.accept()) {
+                socket.getInputStream().read();
+                socket.setSoLinger(true, 0);
+            }
+            assertEquals(new End(Outcome.UNREACHABLE, false, 0), end());
+        }
+    }
+
+    @Test
+    void silenceIsATimeOutAndClosesTheConnection() throws Exception {
+        stub.script(Stub.silent());
+        start(new byte[1], 30);
+        assertEquals(new End(Outcome.TIMED_OUT, false, 0), end());
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(1, stub.requests.get(1).connection(), "a late answer must not meet the next call");
+    }
+
+    @Test
+    void aCancelledCallEndsOnceAndClosesTheConnection() throws Exception {
+        stub.script(Stub.silent());
+        Endpoints.Call call = start(new byte[1], LONG_MS);
+        Stub.await("the call arrives", () -> !stub.requests.isEmpty());
+        loop.submit(() -> endpoints.cancel(call)).syncUninterruptibly();
+        assertEquals(new End(Outcome.CANCELLED, false, 0), end());
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(1, stub.requests.get(1).connection());
+    }
+
+    @Test
+    void aConnectionIsKeptForTheNextCallAfterAnyWholeAnswer() throws Exception {
+        expect(Outcome.DELIVERED, (request, socket) -> {
+            for (char c : "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    .toCharArray()) {
+                Stub.write(socket, String.valueOf(c));
+            }
+            Stub.write(socket, "3\r\nabc\r\n0\r\n\r\n");
+        });
+        awaitKept();
+        expect(Outcome.ERROR, Stub.status(500, ""));
+        awaitKept();
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(0, stub.requests.get(2).connection());
+    }
+
+    @Test
+    void aConnectionThatTheEndpointClosedIsNotUsedAgain() throws Exception {
+        expect(Outcome.DELIVERED, (request, socket) -> {
+            Stub.status(200, "").come(request, socket);
+            socket.close();
+        });
+        Stub.await("the close is noticed", () -> kept() == 0);
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        expect(Outcome.DELIVERED, Stub.status(200, "Connection: close\r\n"));
+        Stub.await("the announced close is kept", () -> kept() == 0);
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+    }
+
+    @Test
+    void aDrainingOrMovedEndpointsIdleConnectionsAreClosed() throws Exception {
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        awaitKept();
+        loop.submit(() -> endpoints.at(1, stub.address(), false)).syncUninterruptibly();
+        assertEquals(0, kept());
+    }
+
+    private void awaitKept() throws Exception {
+        Stub.await("the connection is kept", () -> kept() == 1);
+    }
+
+    private int kept() {
+        return loop.submit(() -> endpoints.kept()).syncUninterruptibly().getNow();
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -0,0 +1,175 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class JournalTest {
+    private static final long DISK = 200_000;
+
+    @TempDir
+    private Path folder;
+
+    private Journal open() throws IOException {
+        return new Journal(folder, DISK, 12);
+    }
+
+    private static Held held(Journal journal, int body) {
+        long number = journal.nextNumber();
+        return new Held(number, "id-" + number, "order", "desk", Optional.of("key"), 7, 12_345, new byte[body]);
+    }
+
+    @Test
+    void whatWasHeldComesBackWithAllThatHappenedToIt() throws Exception {
+        try (Journal journal = open()) {
+            Held a = held(journal, 3);
+            Held b = held(journal, 3);
+            Held c = held(journal, 3);
+            for (Held h : List.of(a, b, c)) {
+                journal.taken(h);
+            }
+            journal.attempt(a, new Held.Attempt("s-1", 100));
+            journal.attempt(a, new Held.Attempt("s-2", 200));
+            journal.neverRan(a, 0);
+            journal.owed(b, new Held.Notice(true, 500));
+            journal.ended(c);
+        }
+        try (Journal journal = open()) {
+            List<Held> held = List.copyOf(journal.held());
+            assertEquals(2, held.size());
+            Held a = held.get(0);
+            assertEquals("id-0", a.id);
+            assertEquals(Optional.of("key"), a.key);
+            assertEquals(12_345, a.deadlineMs);
+            assertArrayEquals(new byte[3], a.body);
+            assertEquals(List.of("s-1", "s-2"), a.attempts.stream().map(x -> x.endpoint).toList());
+            assertEquals(List.of(true, false), a.attempts.stream().map(x -> x.neverRan).toList());
+            assertEquals(200, a.attempts.get(1).sentAtMs);
+            assertEquals(Optional.of(new Held.Notice(true, 500)), held.get(1).owed);
+            assertEquals(3, journal.nextNumber(), "numbers are not used again");
+        }
+    }
+
+    @Test
+    void aTornTailIsDroppedAndWrittenOver() throws Exception {
+        try (Journal journal = open()) {
+            journal.taken(held(journal, 10));
+            journal.taken(held(journal, 10));
+        }
+        Path file = folder.resolve("journal");
+        byte[] whole = Files.readAllBytes(file);
+        for (int cut = whole.length - 1; cut > whole.length / 2; cut -= 7) {
+            Files.write(file, java.util.Arrays.copyOf(whole, cut));
+            try (Journal journal = open()) {
+                assertEquals(1, journal.held().size());
+                journal.taken(held(journal, 10));
+            }
+            try (Journal journal = open()) {
+                assertEquals(2, journal.held().size(), "what follows a torn tail must be found again");
+            }
+        }
+        Files.write(file, whole);
+        Files.write(file, new byte[700], StandardOpenOption.APPEND);
+        try (Journal journal = open()) {
+            assertEquals(2, journal.held().size());
+        }
+    }
+
+    @Test
+    void aChangedByteEndsTheReplay() throws Exception {
+        try (Journal journal = open()) {
+            journal.taken(held(journal, 10));
+            journal.taken(held(journal, 10));
+        }
+        Path file = folder.resolve("journal");
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[bytes.length - 2] ^= 1;
+        Files.write(file, bytes);
+        try (Journal journal = open()) {
+            assertEquals(1, journal.held().size());
+        }
+    }
+
+    @Test
+    void theFolderStaysUnderItsBoundAtEveryMomentAndLosesNothing() throws Exception {
+        Random random = new Random(5);
+        Deque<Held> live = new ArrayDeque<>();
+        int refused = 0;
+        int compactions = 0;
+        try (Journal journal = open()) {
+            for (int i = 0; i < 4000; i++) {
+                long before = journal.size();
+                Held h = held(journal, random.nextInt(4000));
+                try {
+                    journal.taken(h);
+                    live.add(h);
+                    journal.attempt(h, new Held.Attempt("s-" + i, i));
+                    journal.neverRan(h, 0);
+                } catch (IOException full) {
+                    refused++;
+                }
+                if (random.nextInt(100) < 48 || live.size() > 60) {
+                    Held over = live.remove();
+                    journal.owed(over, new Held.Notice(false, 0));
+                    journal.ended(over);
+                }
+                compactions += journal.size() < before ? 1 : 0;
+                // A compaction begun now would stand beside the file with all that is live.
+                long liveBytes = live.stream().mapToLong(x -> x.bytes).sum();
+                assertTrue(journal.size() + liveBytes + 1024 <= DISK, "at step " + i);
+            }
+        }
+        assertTrue(refused > 0, "live bytes that leave no room refuse new messages");
+        assertTrue(compactions > 10);
+        try (Journal journal = open()) {
+            assertEquals(live.stream().map(h -> h.id).toList(), journal.held().stream().map(h -> h.id).toList());
+        }
+    }
+
+    @Test
+    void thereIsRoomForEveryLaterRecordOfWhatWasTaken() throws Exception {
+        try (Journal journal = open()) {
+            Deque<Held> taken = new ArrayDeque<>();
+            assertThrows(IOException.class, () -> {
+                while (true) {
+                    Held h = held(journal, 500);
+                    journal.taken(h);
+                    taken.add(h);
+                }
+            });
+            for (Held h : taken) {
+                for (int i = 0; i < 12; i++) {
+                    journal.attempt(h, new Held.Attempt("s-5be2a07c5be2a07c", i));
+                    journal.neverRan(h, i);
+                }
+                journal.owed(h, new Held.Notice(true, 1));
+            }
+            for (Held h : taken) {
+                journal.ended(h);
+            }
+            journal.taken(held(journal, 500));
+        }
+    }
+
+    @Test
+    void anUnfinishedCompactionIsRemoved() throws Exception {
+        Files.write(folder.resolve("journal.next"), new byte[5000]);
+        try (Journal journal = open()) {
+            assertTrue(Files.notExists(folder.resolve("journal.next")));
+            assertEquals(0, journal.size());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -0,0 +1,150 @@
+package kestreldeal.net;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+/** A scripted HTTP server on a loopback socket, and the plain client side, for tests. */
+final class Stub implements AutoCloseable {
+    /** A request or an answer; {@code connection} numbers those of one server. */
+    record Message(String line, Map<String, String> headers, String body, int connection, long atNanos) {
+        String header(String name) {
+            return headers.get(name.toLowerCase(Locale.ROOT));
+        }
+    }
+
+    /** What is done when a request has come: write to the socket, close it, or nothing. */
+    interface Script {
+        void come(Message request, Socket socket) throws Exception;
+    }
+
+    final List<Message> requests = new CopyOnWriteArrayList<>();
+    private final ServerSocket server;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile Script script;
+    private int connections;
+
+    Stub(Script script) throws IOException {
+        this.script = script;
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        daemon(this::accept);
+    }
+
+    void script(Script next) {
+        script = next;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    String hostPort() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                int number = connections++;
+                daemon(() -> serve(socket, number));
+            }
+        } catch (IOException closed) {
+            // The test is over.
+        }
+    }
+
+    private void serve(Socket socket, int number) {
+        try {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            for (Message m = read(in, number); m != null; m = read(in, number)) {
+                requests.add(m);
+                script.come(m, socket);
+            }
+        } catch (Exception gone) {
+            // The other side went away, which is its right.
+        }
+    }
+
+    /** Reads one message with a content length; null at the end of the stream. */
+    static Message read(InputStream in, int number) throws IOException {
+        String line = line(in);
+        if (line == null) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String h = line(in); h != null && !h.isEmpty(); h = line(in)) {
+            int cut = h.indexOf(':');
+            headers.put(h.substring(0, cut).toLowerCase(Locale.ROOT), h.substring(cut + 1).trim());
+        }
+        byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        return new Message(line, headers, new String(body, StandardCharsets.ISO_8859_1), number,
+                System.nanoTime());
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                return null;
+            }
+            line.write(c);
+        }
+        return line.toString(StandardCharsets.ISO_8859_1).trim();
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Answers with a status and further header lines, each closed by a line end. */
+    static Script status(int status, String headers) {
+        return (request, socket) -> write(socket, "HTTP/1.1 " + status + " x\r\n" + headers
+                + "Content-Length: 0\r\n\r\n");
+    }
+
+    static Script silent() {
+        return (request, socket) -> { };
+    }
+
+    /** Waits for something that must come about; how soon does not matter. */
+    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + 30_000_000_000L;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("never came about: " + what);
+            }
+            Thread.sleep(2);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
