--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -124,8 +124,12 @@
     }
 
     @Override
-    public void close() throws IOException {
-        channel.close();
+    public void close() {
+        try {
+            channel.close();
+        } catch (IOException e) {
+            Log.line("closing the journal: " + e.getMessage());
+        }
     }
 
     // ---- writing ----
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -31,7 +31,7 @@
 
     private final Config config;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
+    private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
     private final Map<String, Long> endpointNumbers = new HashMap<>();
@@ -389,13 +389,9 @@
         loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Lets go of everything at once, as the end of the process would. */
+    /** Lets go of everything at once, as the end of the process would: the journal first. */
     void kill() {
+        loop.submit(journal::close).syncUninterruptibly();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
-        try {
-            journal.close();
-        } catch (IOException e) {
-            Log.line("closing the journal: " + e.getMessage());
-        }
     }
 }
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -117,6 +117,13 @@
         }
     }
 
+    /** A message of an earlier life, with the attempts made then. */
+    void resume(long id, int type, long destination, double leftMs, List<Relay.EarlierAttempt> earlier) {
+        relay.resumed(now, new Relay.Message(id, type, 0, Optional.of("key " + id), leftMs, destination), earlier);
+        attempts.put(id, earlier.size());
+        relay.endTurn(now);
+    }
+
     void end(long message, int attempt, Outcome outcome) {
         end(message, attempt, outcome, 0);
     }
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -615,6 +615,98 @@
         }
     }
 
+    // ---- across lives ----
+
+    private static Bench resumed(int type, double leftMs, Relay.EarlierAttempt... earlier) {
+        Bench b = new Bench().list(1, 10, 11);
+        b.until(20_000);
+        b.resume(1, type, 1, leftMs, List.of(earlier));
+        return b;
+    }
+
+    private static Relay.EarlierAttempt earlier(double agoMs, boolean mayHaveRun) {
+        return new Relay.EarlierAttempt(10, 20_000 - agoMs, mayHaveRun);
+    }
+
+    @Test
+    void anEarlierLifesAttemptHoldsNoSlotAndIsNumberedOnFrom() {
+        Bench b = resumed(SAFE, 9000, earlier(500, true), earlier(100, false));
+        assertEquals(List.of(1L), b.sent());
+        b.end(1, 2, Outcome.DELIVERED);
+        assertTrue(b.answers.isEmpty());
+        for (long id = 2; id <= 6; id++) {
+            b.take(id, SAFE, 1);
+        }
+        assertTrue(b.sends.size() >= 5, "no slot is lost to what was out at the death");
+    }
+
+    @Test
+    void aKeyedMessageIsRepeatedAfterARestartOnlyWithinItsWindow() {
+        assertEquals(List.of(1L), resumed(KEYED, 9000, earlier(1000, true)).sent());
+        Bench late = resumed(KEYED, 9000, earlier(4000, true));
+        assertTrue(late.sends.isEmpty());
+        assertEquals(List.of("refuse 1"), late.answers, "given up at once, not at its deadline");
+        assertEquals(List.of(1L), resumed(KEYED, 9000, earlier(4000, false)).sent());
+    }
+
+    @Test
+    void aZonesRepeatsStayInTheZoneAcrossLives() {
+        Bench b = new Bench().entry(10, 1, 0, 0, true).entry(11, 1, 0, 1, true);
+        b.until(20_000);
+        b.resume(1, BY_ZONE, 1, 9000, List.of(new Relay.EarlierAttempt(11, 19_900, true)));
+        assertEquals(11, b.sends.get(0).endpoint());
+        b.resume(2, BY_ZONE, 1, 9000, List.of(new Relay.EarlierAttempt(99, 19_900, true)));
+        assertEquals(List.of("fail 2"), b.answers, "an endpoint that has left is of no known zone");
+    }
+
+    @Test
+    void anUnsafeMessageThatMayHaveRunIsGivenUpAfterARestart() {
+        Bench b = resumed(UNSAFE, 9000, earlier(100, true));
+        assertTrue(b.sends.isEmpty());
+        assertEquals(List.of("fail 1"), b.answers);
+        assertEquals(List.of(1L), resumed(UNSAFE, 9000, earlier(100, false)).sent());
+    }
+
+    @Test
+    void attemptsOfAllLivesCountTogether() {
+        Relay.EarlierAttempt[] twelve = new Relay.EarlierAttempt[12];
+        java.util.Arrays.fill(twelve, earlier(100, false));
+        Bench b = resumed(SAFE, 9000, twelve);
+        assertTrue(b.sends.isEmpty());
+        assertEquals(List.of("refuse 1"), b.answers);
+    }
+
+    @Test
+    void anOverdueMessageIsAnsweredAtOnce() {
+        Bench b = resumed(SAFE, -100);
+        assertTrue(b.sends.isEmpty());
+        assertEquals(List.of("refuse 1"), b.answers);
+    }
+
+    @Test
+    void aKeyInOrderRestsAfterARestartWhereAnAttemptMayRunOn() {
+        Bench b = resumed(UNSAFE, 9000, earlier(100, true));
+        b.take(2, UNSAFE, 1, "key 1");
+        b.until(20_490);
+        assertTrue(b.sends.isEmpty());
+        b.until(20_510);
+        assertEquals(List.of(2L), b.sent());
+    }
+
+    @Test
+    void noCallStartsThatIsNotExpectedToEndBeforeTheClose() {
+        Bench b = new Bench().list(1, 10, 11);
+        b.relay.closing(b.now, 3000);
+        b.take(1, SAFE, 1);
+        assertEquals(List.of(1L), b.sent());
+        b.take(2, UNSAFE, 1);
+        assertEquals(List.of(1L), b.sent(), "what can't be repeated has its whole time-out or none");
+        b.until(2500);
+        b.take(3, SAFE, 1);
+        b.until(6000);
+        assertFalse(b.sent().contains(3L));
+    }
+
     // ---- the module's size ----
 
     @Test
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -27,7 +27,7 @@
     }
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = (EventLoop) group.next();
+    private final EventLoop loop = group.next();
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
     private Endpoints endpoints;
     private Stub stub;
--- /dev/null
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -0,0 +1,532 @@
+package kestreldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole sender over loopback sockets: clients, two endpoints of one destination, and the agent. */
+class SenderTest {
+    private static final int MAX_OPEN = 5;
+
+    @TempDir
+    private Path folder;
+    private final List<Stub> endpoints = new ArrayList<>();
+    private final List<String> notices = new CopyOnWriteArrayList<>();
+    private final List<Socket> clients = new ArrayList<>();
+    private Stub agent;
+    private volatile String states = "SERVING SERVING";
+    private volatile boolean agentUp = true;
+    private volatile int reportStatus = 204;
+    private Sender sender;
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void open() throws Exception {
+        endpoints.add(new Stub(Stub.status(200, "")));
+        endpoints.add(new Stub(Stub.status(200, "")));
+        agent = new Stub(this::agent);
+        Files.createDirectory(folder.resolve("state"));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        if (sender != null) {
+            sender.kill();
+        }
+        for (Socket client : clients) {
+            client.close();
+        }
+        for (Stub stub : endpoints) {
+            stub.close();
+        }
+        agent.close();
+    }
+
+    // ---- the world ----
+
+    private void agent(Stub.Message request, Socket socket) throws Exception {
+        if (!agentUp) {
+            return;
+        }
+        if (request.line().startsWith("POST /reports")) {
+            int status = reportStatus;
+            if (status == 204) {
+                notices.addAll(List.of(request.body().trim().split("\n")));
+            }
+            Stub.write(socket, "HTTP/1.1 " + status + " x\r\n"
+                    + (status == 204 ? "\r\n" : "Content-Length: 0\r\n\r\n"));
+            return;
+        }
+        String known = request.line().contains("after=") ? request.line().replaceAll(".*after=(\\d+).*", "$1")
+                : "";
+        Stub.await("something new on the list", () -> !known.equals(generation()));
+        String list = list();
+        Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+    }
+
+    private String generation() {
+        return Integer.toString(1000 + states.hashCode() % 1000);
+    }
+
+    private String list() {
+        String[] state = states.split(" ");
+        return "{\"generation\":" + generation() + ",\"reset\":true,\"instances\":[" + entry(0, state[0]) + ","
+                + entry(1, state[1]) + "]}";
+    }
+
+    private String entry(int number, String state) {
+        return "{\"instanceId\":\"s-" + number + "\",\"hostPort\":\"" + endpoints.get(number).hostPort()
+                + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":7,\"lifecycle\":\"" + state
+                + "\",\"weight\":1.0,\"startedAtMs\":0}";
+    }
+
+    private Config config() throws Exception {
+        String classes = """
+                {"name":"order","aim_ms":2000,"give_up_ms":24000,"repeat":"keyed","window_ms":10000},
+                {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe"}""";
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+                 "limits":{"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,
+                 "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
+                  "family_info":{"workers":10,"batch_by_kind":[1],"separate_routes":[false]},
+                  "fleet_size":1,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
+                   "dial_timeout_ms":1000,"keepalive_ms":15000},
+                  "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
+                """.formatted(agent.hostPort(), list(), classes, MAX_OPEN));
+        return Config.read(Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString()));
+    }
+
+    private void start() throws Exception {
+        sender = new Sender(config());
+        address = sender.start();
+    }
+
+    private void killAndStart() throws Exception {
+        sender.kill();
+        start();
+    }
+
+    private Socket client() throws IOException {
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        clients.add(socket);
+        return socket;
+    }
+
+    private static Stub.Message ask(Socket socket, String text) throws IOException {
+        Stub.write(socket, text);
+        return Stub.read(new BufferedInputStream(socket.getInputStream()), 0);
+    }
+
+    private static String message(String id, String type, String body) {
+        return "POST /" + type + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: " + type
+                + "\r\nX-Caller: acme\r\nX-Budget-Ms: 24000\r\nIdempotency-Key: key-" + id
+                + "\r\nX-Envelope: dest=7\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private void handIn(String id, String type) throws Exception {
+        assertEquals("HTTP/1.1 202 Accepted", ask(client(), message(id, type, "hello")).line());
+    }
+
+    private List<Stub.Message> calls() {
+        return endpoints.stream().flatMap(e -> e.requests.stream()).toList();
+    }
+
+    private void script(Stub.Script script) {
+        endpoints.forEach(e -> e.script(script));
+    }
+
+    /** What the journal holds, read from a copy. */
+    private List<Held> journalled() {
+        try {
+            Path copy = Files.createTempDirectory(folder, "copy");
+            Files.copy(folder.resolve("state/journal"), copy.resolve("journal"),
+                    StandardCopyOption.REPLACE_EXISTING);
+            try (Journal journal = new Journal(copy, 3_000_000, 12)) {
+                return List.copyOf(journal.held());
+            }
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** Leaves a journal as an earlier life would have: one message with one attempt, out since then. */
+    private Held earlierLife(String type, long attemptAgoMs, long leftMs, boolean notice) throws Exception {
+        try (Journal journal = new Journal(folder.resolve("state"), 3_000_000, 12)) {
+            long wall = System.currentTimeMillis();
+            Held held = new Held(journal.nextNumber(), "old", type, "acme", Optional.of("key-old"), 7,
+                    wall + leftMs, "hello".getBytes(StandardCharsets.ISO_8859_1));
+            journal.taken(held);
+            if (attemptAgoMs > 0) {
+                journal.attempt(held, new Held.Attempt("s-0", wall - attemptAgoMs));
+            }
+            if (notice) {
+                journal.owed(held, new Held.Notice(true, 700));
+            }
+            return held;
+        }
+    }
+
+    private void awaitNothingHeld() throws InterruptedException {
+        Stub.await("the journal holds nothing", () -> journalled().isEmpty());
+    }
+
+    private void awaitNotice(String result) throws Exception {
+        Stub.await("the notice", () -> !notices.isEmpty());
+        assertTrue(notices.get(0).contains(result), notices.get(0));
+        awaitNothingHeld();
+        assertEquals(1, notices.size());
+    }
+
+    // ---- delivery ----
+
+    @Test
+    void aMessageIsTakenDeliveredAndForgotten() throws Exception {
+        start();
+        handIn("one", "order");
+        awaitNothingHeld();
+        assertEquals(1, calls().size());
+        assertEquals("one", calls().get(0).header("X-Call-Id"));
+        assertEquals("key-one", calls().get(0).header("Idempotency-Key"));
+        assertEquals("hello", calls().get(0).body());
+        assertTrue(notices.isEmpty());
+        killAndStart();
+        handIn("two", "order");
+        awaitNothingHeld();
+        assertEquals(2, calls().size(), "what was delivered is not sent again by a later life");
+    }
+
+    @Test
+    void aMessageThatIsOverIsOwedNothing() throws Exception {
+        script(Stub.status(410, ""));
+        start();
+        handIn("one", "order");
+        awaitNothingHeld();
+        assertTrue(notices.isEmpty());
+    }
+
+    @Test
+    void aMessageThatMayNotBeRepeatedEndsByANotice() throws Exception {
+        script(Stub.status(500, ""));
+        start();
+        handIn("one", "once");
+        awaitNotice("{\"ref\":\"one\",\"result\":\"dead\"}");
+        assertEquals(1, calls().size());
+    }
+
+    @Test
+    void aNoticeIsRepeatedUntilItIsHeard() throws Exception {
+        script(Stub.status(500, ""));
+        reportStatus = 500;
+        start();
+        handIn("one", "once");
+        Stub.await("several tries", () -> agent.requests.stream().filter(r -> r.line().startsWith("POST"))
+                .count() > 2);
+        assertEquals(1, journalled().size());
+        reportStatus = 204;
+        awaitNotice("dead");
+    }
+
+    @Test
+    void aToldWaitIsKept() throws Exception {
+        start();
+        script(Stub.status(429, "Retry-After: 0.6\r\n"));
+        handIn("one", "order");
+        Stub.await("the first call", () -> calls().size() == 1);
+        script(Stub.status(200, ""));
+        handIn("two", "order");
+        Stub.await("both delivered", () -> calls().size() == 3);
+        long first = calls().stream().mapToLong(Stub.Message::atNanos).min().orElseThrow();
+        for (Stub.Message later : calls()) {
+            assertTrue(later.atNanos() == first || later.atNanos() - first >= 600_000_000, "sent while waiting");
+        }
+    }
+
+    @Test
+    void nothingNewGoesToADrainingEndpoint() throws Exception {
+        start();
+        for (int round = 0; round < 2; round++) {
+            states = round == 0 ? "DRAINING SERVING" : "SERVING DELETED";
+            String generation = generation();
+            Stub.await("the list is read", () -> agent.requests.stream()
+                    .anyMatch(r -> r.line().contains("after=" + generation)));
+            int before = endpoints.get(round).requests.size();
+            for (int i = 0; i < 4; i++) {
+                handIn("m" + round + i, "order");
+                awaitNothingHeld();
+            }
+            assertEquals(before, endpoints.get(round).requests.size());
+        }
+        assertEquals(8, calls().size());
+    }
+
+    @Test
+    void aSilentAgentHoldsNothingUp() throws Exception {
+        agentUp = false;
+        start();
+        assertEquals("HTTP/1.1 200 OK", ask(client(), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").line());
+        handIn("one", "order");
+        awaitNothingHeld();
+        agentUp = true;
+        Stub.await("the list is asked for again", () -> agent.requests.stream()
+                .anyMatch(r -> r.line().contains("after=")));
+    }
+
+    // ---- restarts ----
+
+    @Test
+    void aKeyedAttemptThatWasOutIsRepeatedWithinItsWindow() throws Exception {
+        script(Stub.silent());
+        start();
+        handIn("one", "order");
+        Stub.await("the call", () -> calls().size() == 1);
+        script(Stub.status(200, ""));
+        killAndStart();
+        Stub.await("the repeat", () -> calls().size() == 2);
+        assertEquals(List.of("one", "one"), calls().stream().map(c -> c.header("X-Call-Id")).toList());
+        assertEquals(List.of("key-one", "key-one"),
+                calls().stream().map(c -> c.header("Idempotency-Key")).toList());
+        awaitNothingHeld();
+    }
+
+    @Test
+    void aKeyedAttemptThatWasOutIsNotRepeatedPastItsWindow() throws Exception {
+        earlierLife("order", 11_000, 10_000, false);
+        start();
+        awaitNotice("bounced");
+        assertTrue(calls().isEmpty());
+    }
+
+    @Test
+    void anUnsafeAttemptThatWasOutIsGivenUp() throws Exception {
+        script(Stub.silent());
+        start();
+        handIn("one", "once");
+        Stub.await("the call", () -> calls().size() == 1);
+        killAndStart();
+        awaitNotice("dead");
+        assertEquals(1, calls().size());
+    }
+
+    @Test
+    void anUnsafeMessageWhoseAttemptNeverRanIsSentAgain() throws Exception {
+        script(Stub.status(503, ""));
+        start();
+        handIn("one", "once");
+        Stub.await("the refusal is known", () -> journalled().get(0).attempts.stream()
+                .anyMatch(a -> a.neverRan));
+        script(Stub.status(200, ""));
+        killAndStart();
+        awaitNothingHeld();
+        assertTrue(notices.isEmpty());
+    }
+
+    @Test
+    void anUnsentMessageGoesOutInTheNextLife() throws Exception {
+        earlierLife("once", 0, 10_000, false);
+        start();
+        awaitNothingHeld();
+        assertEquals(1, calls().size());
+    }
+
+    @Test
+    void anOverdueMessageGetsItsNoticeAtOnce() throws Exception {
+        earlierLife("order", 0, -5000, false);
+        start();
+        awaitNotice("bounced");
+        assertTrue(calls().isEmpty());
+    }
+
+    @Test
+    void anOwedNoticeGoesOutInTheNextLife() throws Exception {
+        earlierLife("order", 0, 10_000, true);
+        start();
+        awaitNotice("{\"ref\":\"old\",\"result\":\"bounced\",\"wait_ms\":700}");
+        assertTrue(calls().isEmpty());
+    }
+
+    // ---- clients ----
+
+    @Test
+    void badInputIsAnsweredAndHarmsNothing() throws Exception {
+        start();
+        String good = message("id", "order", "hello");
+        Map<String, String> answers = Map.ofEntries(
+                Map.entry("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n", "404"),
+                Map.entry("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "404"),
+                Map.entry("GET /order HTTP/1.1\r\nHost: x\r\n\r\n", "405"),
+                Map.entry("\u0001\u0002 rubbish\r\n\r\n", "400"),
+                Map.entry(good.replace("X-Call-Id: id\r\n", ""), "400"),
+                Map.entry(good.replace("X-Budget-Ms: 24000", "X-Budget-Ms: soon"), "400"),
+                Map.entry(good.replace("X-Budget-Ms: 24000", "X-Budget-Ms: -1"), "400"),
+                Map.entry(good.replace("dest=7", "dest=x"), "400"),
+                Map.entry(good.replace("dest=7", "nothing"), "400"),
+                Map.entry(good.replace("X-Caller: acme", "X-Caller: nobody"), "400"),
+                Map.entry(good.replace("Idempotency-Key: key-id\r\n", ""), "400"),
+                Map.entry(good.replace("X-Call-Class: order", "X-Call-Class: once"), "400"),
+                Map.entry(good.replace("Content-Length: 5", "Content-Length: five"), "400"));
+        for (Map.Entry<String, String> e : answers.entrySet()) {
+            Stub.Message answer = ask(client(), e.getKey());
+            assertEquals(e.getValue(), answer.line().split(" ")[1], e.getKey());
+        }
+        assertTrue(journalled().isEmpty());
+        handIn("good", "order");
+    }
+
+    @Test
+    void bodiesMayHaveSixtyFourKibAndAnyBytes() throws Exception {
+        start();
+        StringBuilder any = new StringBuilder();
+        for (int i = 0; i < 64 * 1024; i++) {
+            any.append((char) (i % 256));
+        }
+        assertEquals("202", ask(client(), message("big", "order", any.toString())).line().split(" ")[1]);
+        awaitNothingHeld();
+        assertEquals(any.toString(), calls().get(0).body());
+        String long413 = message("long", "order", any + "x");
+        assertEquals("413", ask(client(), long413).line().split(" ")[1]);
+        assertEquals(1, calls().size());
+    }
+
+    @Test
+    void aChunkedBodyInPiecesIsTaken() throws Exception {
+        start();
+        Socket client = client();
+        for (char c : message("one", "order", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                .toCharArray()) {
+            Stub.write(client, String.valueOf(c));
+        }
+        assertEquals("202", ask(client, "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n").line().split(" ")[1]);
+        awaitNothingHeld();
+        assertEquals("hello", calls().get(0).body());
+    }
+
+    @Test
+    void aFullSenderRefuses() throws Exception {
+        script(Stub.silent());
+        start();
+        for (int i = 0; i < MAX_OPEN; i++) {
+            handIn("m" + i, "order");
+        }
+        assertEquals("503", ask(client(), message("more", "order", "hello")).line().split(" ")[1]);
+        assertEquals(MAX_OPEN, journalled().size());
+    }
+
+    @Test
+    void theSameIdIsTakenOnce() throws Exception {
+        script(Stub.silent());
+        start();
+        handIn("one", "order");
+        handIn("one", "order");
+        assertEquals(1, journalled().size());
+    }
+
+    @Test
+    void aClientThatGoesBeforeItsRequestIsWholeIsOwedNothing() throws Exception {
+        start();
+        Socket gone = client();
+        String whole = message("gone", "order", "hello");
+        Stub.write(gone, whole.substring(0, whole.length() - 2));
+        gone.close();
+        handIn("one", "order");
+        awaitNothingHeld();
+        assertEquals(List.of("one"), calls().stream().map(c -> c.header("X-Call-Id")).toList());
+    }
+
+    // ---- the end ----
+
+    @Test
+    void aDrainTakesThenClosesAndLetsCallsOutFinish() throws Exception {
+        script(Stub.silent());
+        start();
+        Socket kept = client();
+        assertEquals("202", ask(kept, message("one", "once", "hello")).line().split(" ")[1]);
+        Stub.await("the call", () -> calls().size() == 1);
+        Thread drain = new Thread(sender::drain);
+        drain.start();
+        InputStream in = kept.getInputStream();
+        assertEquals(-1, in.read(), "an idle client connection is closed");
+        assertThrows(IOException.class, this::client, "no new connection is taken");
+        assertTrue(drain.isAlive(), "a call out is waited for");
+        Stub.Message call = calls().get(0);
+        Stub there = endpoints.stream().filter(e -> e.requests.contains(call)).findFirst().orElseThrow();
+        there.answerAll("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        drain.join();
+        assertTrue(journalled().isEmpty());
+    }
+
+    @Test
+    void aDrainEndsInTimeAndTheJournalHoldsTheRest() throws Exception {
+        script(Stub.silent());
+        start();
+        handIn("one", "order");
+        Stub.await("the call", () -> calls().size() == 1);
+        sender.drain();
+        assertEquals("one", journalled().get(0).id);
+        assertEquals(1, journalled().get(0).attempts.size());
+    }
+
+    /** The program itself, as a process: SIGKILL loses nothing, and SIGTERM ends it by its own will. */
+    @Test
+    void theProcessOutlivesItsSignals() throws Exception {
+        script(Stub.silent());
+        config();
+        Process first = process();
+        handIn("one", "order");
+        Stub.await("the call", () -> calls().size() == 1);
+        first.destroyForcibly().waitFor();
+        script(Stub.status(200, ""));
+        Process second = process();
+        awaitNothingHeld();
+        assertEquals(2, calls().size());
+        second.destroy();
+        assertNotEquals(137, second.waitFor());
+        assertFalse(second.isAlive());
+    }
+
+    private Process process() throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve");
+        builder.environment().putAll(Map.of("GW_CONFIG", folder.resolve("config.json").toString(),
+                "GW_STATE", folder.resolve("state").toString()));
+        Path log = Files.createTempFile(folder, "log", "");
+        Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        String ready = " takes messages at 127.0.0.1:";
+        Stub.await("the process is ready", () -> {
+            try {
+                String text = Files.readString(log);
+                int at = text.indexOf(ready);
+                if (at < 0 || text.indexOf(',', at) < 0) {
+                    return false;
+                }
+                address = new InetSocketAddress("127.0.0.1",
+                        Integer.parseInt(text.substring(at + ready.length(), text.indexOf(',', at))));
+                return true;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        return process;
+    }
+}
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -119,6 +119,13 @@
         socket.getOutputStream().flush();
     }
 
+    /** Writes this on every connection. */
+    void answerAll(String text) throws IOException {
+        for (Socket socket : sockets) {
+            write(socket, text);
+        }
+    }
+
     /** Answers with a status and further header lines, each closed by a line end. */
     static Script status(int status, String headers) {
         return (request, socket) -> write(socket, "HTTP/1.1 " + status + " x\r\n" + headers
