The module answers a keyed message once its window has passed, not at its deadline

Cause: a message that waits after an attempt that may have run can't be sent past its window, but stayed in the queue until its deadline: held back, up to 14 s, with nothing to come of it.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -182,8 +182,8 @@
             d.attempts.add(new Attempt(Optional.ofNullable(targets.get(earlier.endpoint())), earlier));
         }
         keys.resumed(d);
-        if (!attempts.isEmpty() && !mayGoOn(d)) {
-            finish(d);
+        if (!attempts.isEmpty()) {
+            giveUpInTime(d);
         }
     }
 
@@ -373,8 +373,8 @@
 
     /** Every attempt has ended retryable: wait for a new wave, unless no further attempt can be allowed. */
     private void nextWave(Delivery d) {
-        if (!mayGoOn(d)) {
-            finish(d);
+        giveUpInTime(d);
+        if (d.ended) {
             return;
         }
         double backoff = BACKOFF_MS * Math.pow(BACKOFF_GROWTH, d.waves) * (0.75 + 0.5 * random.nextDouble());
@@ -384,6 +384,23 @@
         timers.add(d.notBefore, () -> { });
     }
 
+    /**
+     * Answers at once what no further attempt can be allowed for: now, or when a keyed message's window has
+     * passed. Guards against an answer that is held back until the deadline, when it is of no more use.
+     */
+    private void giveUpInTime(Delivery d) {
+        if (!mayGoOn(d)) {
+            finish(d);
+        } else if (d.type.effect() == Effect.KEYED) {
+            d.attempts.stream().filter(a -> a.mayHaveRun).mapToDouble(a -> a.sentAt).min().ifPresent(first ->
+                    timers.add(first + d.type.windowMs() - WINDOW_MARGIN_MS + CLOCK_MARGIN_MS, () -> {
+                        if (!mayGoOn(d)) {
+                            finish(d);
+                        }
+                    }));
+        }
+    }
+
     /** Whether a further attempt can still be allowed somewhere. */
     private boolean mayGoOn(Delivery d) {
         return d.attempts.size() < settings.maxAttempts() && clock < d.deadline - ANSWER_MARGIN_MS
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -649,6 +649,18 @@
         assertEquals(List.of(1L), resumed(KEYED, 9000, earlier(4000, false)).sent());
     }
 
+    @Test
+    void aKeyedMessageIsAnsweredWhenItsWindowHasPassed() {
+        Bench b = new Bench().list(1, 10);
+        b.take(1, KEYED, 1);
+        b.end(1, 0, Outcome.ERROR);
+        b.entry(10, 1, 0, 0, false);
+        b.until(3650);
+        assertTrue(b.answers.isEmpty());
+        b.until(3750);
+        assertEquals(List.of("refuse 1"), b.answers, "not only at its deadline");
+    }
+
     @Test
     void aZonesRepeatsStayInTheZoneAcrossLives() {
         Bench b = new Bench().entry(10, 1, 0, 0, true).entry(11, 1, 0, 1, true);
