A refusal tells the client when its destination may open again

Cause: refusals carried no wait, so clients that honour one came back while the gates that caused the refusal were still shut.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -12,6 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.DoubleStream;
 
 /**
  * The decision module. Its interface, with all types, events and actions, is Relay.java.
@@ -415,7 +416,7 @@
         boolean repeatable = d.type.effect() == Effect.SAFE
                 || d.type.effect() == Effect.KEYED && !d.type.sameZone();
         if (repeatable || d.attempts.stream().noneMatch(a -> a.out || a.mayHaveRun)) {
-            actions.refuse(d.message.id(), 0);
+            actions.refuse(d.message.id(), Math.max(0, d.destination.opensAt() - clock));
         } else {
             actions.fail(d.message.id());
         }
@@ -446,16 +447,9 @@
 
     /** When the next gate opens by time alone for a message that waits. */
     private double nextOpening() {
-        double next = Double.POSITIVE_INFINITY;
-        for (Destination destination : queue.stream().map(d -> d.destination).distinct().toList()) {
-            for (Target target : destination.targets) {
-                double at = Math.max(Math.max(target.limit.waitUntil, target.limit.nextAt), target.nextAt);
-                if (target.serving && at > clock) {
-                    next = Math.min(next, at);
-                }
-            }
-        }
-        return next;
+        return queue.stream().map(d -> d.destination).distinct()
+                .flatMapToDouble(destination -> destination.openings().filter(at -> at > clock)).min()
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     // ---- parts ----
@@ -585,6 +579,17 @@
         final Rate demand = new Rate();
         int out;
 
+        /** When the gates of its endpoints open, as far as time alone opens them. */
+        DoubleStream openings() {
+            return targets.stream().filter(t -> t.serving)
+                    .mapToDouble(t -> Math.max(Math.max(t.limit.waitUntil, t.limit.nextAt), t.nextAt));
+        }
+
+        /** When it is worth coming back: the first opening, or now where none is known. */
+        double opensAt() {
+            return openings().min().orElse(clock);
+        }
+
         /** Fewer slots than stay free, lest a slow or silent one holds them all. */
         boolean hasSlot() {
             return out < Math.max(1, settings.slots() - slotsUsed - 1);
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -32,6 +32,7 @@
     final List<Long> closes = new ArrayList<>();
     final List<String> answers = new ArrayList<>();
     final List<Double> wakes = new ArrayList<>();
+    final List<Double> waits = new ArrayList<>();
     final Relay relay;
     Consumer<Sent> onSend = s -> { };
     boolean strict;
@@ -244,6 +245,7 @@
 
     @Override
     public void refuse(long message, double waitMs) {
+        waits.add(waitMs);
         if (strict) {
             Effect effect = LogicTest.CLASSES.get(messages.get(message).messageClass()).effect();
             for (int i = 0; effect == Effect.UNSAFE && i < attempts.getOrDefault(message, 0); i++) {
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -661,6 +661,18 @@
         assertEquals(List.of("refuse 1"), b.answers, "not only at its deadline");
     }
 
+    @Test
+    void aRefusalTellsWhenTheDestinationOpensAgain() {
+        Bench b = new Bench().list(1, 10).list(2, 20);
+        b.take(1, SAFE, 1);
+        b.end(1, 0, Outcome.FULL, 5000);
+        b.resume(2, SAFE, 1, -1, List.of());
+        b.resume(3, SAFE, 2, -1, List.of());
+        assertEquals(List.of("refuse 2", "refuse 3"), b.answers);
+        assertTrue(b.waits.get(0) >= 5000, "the told wait at least");
+        assertEquals(0, b.waits.get(1));
+    }
+
     @Test
     void aZonesRepeatsStayInTheZoneAcrossLives() {
         Bench b = new Bench().entry(10, 1, 0, 0, true).entry(11, 1, 0, 1, true);
