A backlog from an outage before a restart starts with trials

Cause, by reading: the module's health and pace die with the process, and a restart hands back a whole backlog in one turn; dispatch would send half the slots' worth at once to a destination that may just be coming back cold, from a sender that had seen it fail. A new test counts its sends in the first 3 s (4 at most of 12, all 12 in time). Calls that were merely out at the end are no sign of trouble, and go out at once as before.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -107,6 +107,9 @@
     private static final double DEMAND_SHARE = 0.7;
     private static final double CARRIED_LEAST_MS = 2000;
 
+    /** So many messages of an earlier life for one destination count as a backlog. */
+    private static final int LEAST_BACKLOG = 3;
+
     // Connections.
     /** A connection without use for so long counts as idle. */
     private static final double IDLE_LEAST_MS = 100;
@@ -172,9 +175,10 @@
     @Override
     public void message(double now, Message message) {
         tick(now);
-        take(message);
+        take(message).destination.demand.count();
     }
 
+    /** Demand is not counted: what comes back at once was asked for over a time that nobody knows. */
     @Override
     public void resumed(double now, Message message, List<EarlierAttempt> attempts) {
         tick(now);
@@ -186,6 +190,9 @@
         if (!attempts.isEmpty()) {
             giveUpInTime(d);
         }
+        if (!d.ended) {
+            d.destination.resumed(d);
+        }
     }
 
     @Override
@@ -202,7 +209,6 @@
             throw new IllegalArgumentException("message " + message.id() + " was already taken");
         }
         Delivery d = new Delivery(message);
-        d.destination.demand.count();
         deliveries.put(message.id(), d);
         keys.taken(d);
         queue.add(d);
@@ -578,6 +584,22 @@
         final Limit shared = new Limit(this);
         final Rate demand = new Rate();
         int out;
+        int backlog;
+        boolean troubled;
+
+        /**
+         * A backlog from an earlier life that had trouble here: attempts that were refused or repeated, or
+         * messages late with none. Guards against a restart in an outage, which would send it all at once to
+         * what may just be coming back cold; so trials come first. A few messages can't push it over.
+         */
+        void resumed(Delivery d) {
+            backlog++;
+            troubled |= d.attempts.isEmpty() ? clock > d.aimAt
+                    : d.attempts.size() > 1 || d.attempts.stream().noneMatch(a -> a.mayHaveRun);
+            if (troubled && backlog >= LEAST_BACKLOG) {
+                targets.forEach(target -> target.down("had trouble before the restart"));
+            }
+        }
 
         /** When the gates of its endpoints open, as far as time alone opens them. */
         DoubleStream openings() {
@@ -785,6 +807,10 @@
             double asked = destination.demand.perMs() / destination.targets.size() * DEMAND_SHARE;
             double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * Math.max(carried.perMs(), asked);
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
+            if (rate == 0) {
+                // Only messages of an earlier life are known here: the pace of trials, until more is seen.
+                return least;
+            }
             return state == State.DOWN ? Math.max(least, Math.min(1 / TRIAL_LEAST_MS, rate)) : rate;
         }
 
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -120,11 +120,17 @@
 
     /** A message of an earlier life, with the attempts made then. */
     void resume(long id, int type, long destination, double leftMs, List<Relay.EarlierAttempt> earlier) {
-        relay.resumed(now, new Relay.Message(id, type, 0, Optional.of("key " + id), leftMs, destination), earlier);
-        attempts.put(id, earlier.size());
+        resumeInTurn(id, type, destination, leftMs, earlier);
         relay.endTurn(now);
     }
 
+    void resumeInTurn(long id, int type, long destination, double leftMs, List<Relay.EarlierAttempt> earlier) {
+        Relay.Message m = new Relay.Message(id, type, 0, Optional.of("key " + id), leftMs, destination);
+        attempts.put(id, earlier.size());
+        messages.put(id, m);
+        relay.resumed(now, m, earlier);
+    }
+
     void end(long message, int attempt, Outcome outcome) {
         end(message, attempt, outcome, 0);
     }
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -661,6 +661,32 @@
         assertEquals(List.of("refuse 1"), b.answers, "not only at its deadline");
     }
 
+    @Test
+    void aBacklogFromAnOutageBeforeTheRestartStartsWithTrials() {
+        Bench b = new Bench().list(1, 10);
+        b.until(20_000);
+        for (long id = 1; id <= 12; id++) {
+            b.resumeInTurn(id, SAFE, 1, 9000, List.of(earlier(1000, false)));
+        }
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 100);
+        b.relay.endTurn(b.now);
+        b.until(23_000);
+        assertTrue(b.sends.size() >= 1 && b.sends.size() <= 4, "sent in 3 s: " + b.sends.size());
+        b.until(29_100);
+        b.allAnswered();
+    }
+
+    @Test
+    void callsThatWereOutAtTheRestartAreNoBacklogInTrouble() {
+        Bench b = new Bench().list(1, 10);
+        b.until(20_000);
+        for (long id = 1; id <= 4; id++) {
+            b.resumeInTurn(id, SAFE, 1, 15_000, List.of(earlier(1000, true)));
+        }
+        b.relay.endTurn(b.now);
+        assertEquals(List.of(1L, 2L, 3L, 4L), b.sent());
+    }
+
     @Test
     void aRefusalTellsWhenTheDestinationOpensAgain() {
         Bench b = new Bench().list(1, 10).list(2, 20);
