--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -11,7 +11,7 @@
     -jar target/kestreldeal.jar serve >"$state/log" 2>&1 &
 sender=$!
 tries=0
-until grep -q "takes messages\|can't start" "$state/log" || [ $tries -ge 100 ]; do
+until grep -q "listens at\|can't start" "$state/log" || [ $tries -ge 100 ]; do
     tries=$((tries + 1))
     sleep 0.1
 done
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -29,7 +29,6 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.Optional;
@@ -103,11 +102,18 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
-    /** Takes no new connection, and ends those that stand as soon as their request is answered. */
+    /**
+     * Takes no new connection, and ends each that stands with the answer to its next request. None is closed
+     * between requests: one that is on its way to it would be ended without an answer.
+     */
     void close() {
         closing = true;
         listener.close();
-        new ArrayList<>(idle).forEach(Channel::close);
+    }
+
+    /** Connections that clients have open. */
+    int clients() {
+        return clients;
     }
 
     /** Collects bodies; a longer one is answered 413, and what the client still sends is read and dropped. */
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -49,6 +49,8 @@
     private boolean turnOpen;
     private double clock;
     private boolean closing;
+    /** A list is known and the journal is replayed. */
+    private boolean ready;
 
     private record Out(long message, int attempt) {
     }
@@ -76,14 +78,13 @@
 
     /** Replays the journal and begins to serve; returns the address when clients can connect to it. */
     InetSocketAddress start() throws IOException {
-        int resumed = loop.submit(this::open).syncUninterruptibly().getNow();
+        loop.submit(this::open).syncUninterruptibly();
         InetSocketAddress address = intake.listen(config.listen());
-        Log.line(config.name() + " takes messages at " + Endpoints.hostPort(address) + ", with " + resumed
-                + " messages from its journal");
+        Log.line(config.name() + " listens at " + Endpoints.hostPort(address));
         return address;
     }
 
-    private int open() throws IOException {
+    private Void open() throws IOException {
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
         int slots = config.settings().slots();
@@ -91,14 +92,16 @@
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
                 this::attemptEnded);
         notices = new Notices(loop, new Agent(loop, config.discovery()), this::heard);
-        Discovery discovery = new Discovery(loop, new Agent(loop, config.discovery()), this::listed);
-        discovery.start(config.known());
         intake = new Intake(loop, sockets / 2, new Clients());
-        return replay();
+        new Discovery(loop, new Agent(loop, config.discovery()), this::listed).start(config.known());
+        return null;
     }
 
-    /** What an earlier life held goes back to the module, with what it did; notices owed go out again. */
-    private int replay() {
+    /**
+     * What an earlier life held goes back to the module, with what it did; notices owed go out again. Not
+     * before a list is known: without one the module could only give all of it up.
+     */
+    private void replay() {
         long wall = System.currentTimeMillis();
         int resumed = 0;
         for (Held held : journal.held()) {
@@ -125,7 +128,7 @@
             resumed++;
             relay.resumed(now, message(held, messageClass, held.deadlineMs - wall), earlier);
         }
-        return resumed;
+        Log.line(config.name() + " is ready, with " + resumed + " messages from its journal");
     }
 
     private Relay.Message message(Held held, int messageClass, double leftMs) {
@@ -283,6 +286,10 @@
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight()));
         }
         event(() -> relay.endpoints(openTurn(), whole, list));
+        if (!ready) {
+            ready = true;
+            event(this::replay);
+        }
     }
 
     private long endpointNumber(String id) {
@@ -297,7 +304,7 @@
     private final class Clients implements Intake.Desk {
         @Override
         public boolean ready() {
-            return !closing && !endpointIds.isEmpty();
+            return ready && !closing;
         }
 
         @Override
@@ -322,7 +329,7 @@
             if (known != null) {
                 return Optional.of(known);
             }
-            if (open.size() >= config.maxOpen()) {
+            if (!ready || open.size() >= config.maxOpen()) {
                 return Optional.empty();
             }
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
@@ -379,7 +386,7 @@
     }
 
     private void awaitIdle(long begun) {
-        boolean idle = open.isEmpty() && notices.owed() == 0;
+        boolean idle = open.isEmpty() && notices.owed() == 0 && intake.clients() == 0;
         if (idle || System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(CLOSING_MS)) {
             Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
                     + notices.owed() + " notices");
