SIGHUP: the watch and the notices move to the new discovery address at once

Ruled out: drains and restarts, which the log shows whole. Mend: Hangup takes the signal, Sender.reload reads the file off the loop, Discovery and Notices give up what is out at the old agent and go on at the new one, the watch from a whole list on. The file's discovery goes before the environment's, since after a reload and a restart the environment may be stale. Tests: the move with an owed notice, an unreadable file, the process on SIGHUP; each fails before.

--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -92,11 +92,24 @@
     }
 
     private void fail(Request request) {
+        disconnect();
+        request.end(Optional.empty());
+    }
+
+    private void disconnect() {
         if (channel != null) {
             channel.close();
             channel = null;
         }
-        request.end(Optional.empty());
+    }
+
+    /** Gives up what is out, without an answer: its asker has turned to another agent. */
+    void close() {
+        if (current != null) {
+            current.timer.cancel(false);
+            current = null;
+        }
+        disconnect();
     }
 
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/kestreldeal/net/Config.java
@@ -17,8 +17,9 @@
 import kestreldeal.Relay;
 
 /**
- * What a sender is told at its start, by its environment and its JSON configuration; the environment comes
- * first. Settings keep their dotted names, so that the adapter and the sender read them in one way.
+ * What a sender is told, by its environment and its JSON configuration. The environment comes first, but for
+ * discovery: the file may be replaced while the sender runs, and the environment then still names the old
+ * address, also after a restart. Settings keep their dotted names, so that the adapter and the sender read them in one way.
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
               int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
@@ -38,7 +39,7 @@
         return new Config(
                 env.getOrDefault("GW_NAME", json.path("name").asText("sender")),
                 address(env.getOrDefault("GW_LISTEN", json.path("listen").asText())),
-                address(env.getOrDefault("GW_DISCOVERY", json.path("discovery").asText())),
+                address(json.path("discovery").asText(env.getOrDefault("GW_DISCOVERY", ""))),
                 Path.of(required(env, "GW_STATE")),
                 seed(json.path("seed").asText("0")),
                 limits.path("sockets").asInt(1024),
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -41,11 +42,13 @@
     }
 
     private final EventLoop loop;
-    private final Agent agent;
+    private Agent agent;
     private final Lists lists;
     private final ObjectMapper json = JsonMapper.builder().build();
     private long generation = -1;
     private boolean silent;
+    /** The pause before the next question, if there is one. */
+    private Optional<Future<?>> pause = Optional.empty();
 
     Discovery(EventLoop loop, Agent agent, Lists lists) {
         this.loop = loop;
@@ -59,6 +62,18 @@
         ask("/v1/servers", 0);
     }
 
+    /**
+     * Asks another agent from now on. Its generations are of another reckoning, so it begins with the whole
+     * list; what the old one might still say is not waited for.
+     */
+    void moveTo(Agent other) {
+        agent.close();
+        pause.ifPresent(p -> p.cancel(false));
+        agent = other;
+        generation = -1;
+        watch();
+    }
+
     private void ask(String path, long waitMs) {
         agent.ask(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path), waitMs + SILENT_MS,
                 this::answered);
@@ -73,7 +88,7 @@
         if (read) {
             watch();
         } else {
-            loop.schedule(this::watch, PAUSE_MS, TimeUnit.MILLISECONDS);
+            pause = Optional.of(loop.schedule(this::watch, PAUSE_MS, TimeUnit.MILLISECONDS));
         }
     }
 
--- /dev/null
+++ b/src/main/java/kestreldeal/net/Hangup.java
@@ -0,0 +1,39 @@
+package kestreldeal.net;
+
+import java.lang.invoke.MethodHandle;
+import java.lang.invoke.MethodHandleProxies;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.MethodType;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/**
+ * SIGHUP, which by default ends a JVM. Java has no supported interface to signals, so the JDK's own one is
+ * called by reflection: the compiler warns of any mention of it, and a JVM without it only loses the reload.
+ */
+final class Hangup {
+    private Hangup() {
+    }
+
+    /** Runs this at each SIGHUP from now on, one at a time and in order, on a thread of its own. */
+    static void handle(Runnable told) {
+        ExecutorService thread = Executors.newSingleThreadExecutor(run -> {
+            Thread daemon = new Thread(run, "reload");
+            daemon.setDaemon(true);
+            return daemon;
+        });
+        Runnable handed = () -> thread.execute(told);
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            MethodHandle run = MethodHandles.lookup()
+                    .findVirtual(Runnable.class, "run", MethodType.methodType(void.class)).bindTo(handed);
+            Object proxy = MethodHandleProxies.asInterfaceInstance(handler,
+                    MethodHandles.dropArguments(run, 0, signal));
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+        } catch (ReflectiveOperationException | IllegalArgumentException e) {
+            Log.line("SIGHUP can't be handled here: " + e);
+        }
+    }
+}
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -29,12 +30,13 @@
     private static final long PAUSE_MS = 50;
 
     private final EventLoop loop;
-    private final Agent agent;
+    private Agent agent;
     private final Consumer<Held> heard;
     private final ObjectMapper json = JsonMapper.builder().build();
     private final Deque<Held> owed = new ArrayDeque<>();
     private int most = MOST_IN_BATCH;
     private boolean asked;
+    private Future<?> next;
 
     Notices(EventLoop loop, Agent agent, Consumer<Held> heard) {
         this.loop = loop;
@@ -47,7 +49,17 @@
         owed.add(held);
         if (!asked) {
             asked = true;
-            loop.execute(this::post);
+            postIn(0);
+        }
+    }
+
+    /** Tells another agent from now on, at once, also what the old one was told and has not answered. */
+    void moveTo(Agent other) {
+        agent.close();
+        agent = other;
+        if (asked) {
+            next.cancel(false);
+            postIn(0);
         }
     }
 
@@ -56,6 +68,10 @@
         return owed.size();
     }
 
+    private void postIn(long pauseMs) {
+        next = loop.schedule(this::post, pauseMs, TimeUnit.MILLISECONDS);
+    }
+
     private void post() {
         List<Held> batch = new ArrayList<>();
         StringBuilder lines = new StringBuilder();
@@ -96,10 +112,8 @@
             owed.addLast(owed.removeFirst());
         }
         asked = !owed.isEmpty();
-        if (asked && status == 204) {
-            loop.execute(this::post);
-        } else if (asked) {
-            loop.schedule(this::post, PAUSE_MS, TimeUnit.MILLISECONDS);
+        if (asked) {
+            postIn(status == 204 ? 0 : PAUSE_MS);
         }
     }
 }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -47,6 +47,8 @@
     private Journal journal;
     private Endpoints endpoints;
     private Notices notices;
+    private Discovery discovery;
+    private InetSocketAddress agentAddress;
     private Intake intake;
     private boolean turnOpen;
     private double clock;
@@ -68,6 +70,7 @@
     public static int serve(Map<String, String> env) {
         try {
             Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS);
+            Hangup.handle(() -> sender.reload(env));
             sender.start();
             Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
             sender.stopped.await();
@@ -95,12 +98,37 @@
         int mostIdle = Math.max(1, sockets / 2 - slots);
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
                 this::attemptEnded);
-        notices = new Notices(loop, new Agent(loop, config.discovery()), this::heard);
+        agentAddress = config.discovery();
+        notices = new Notices(loop, new Agent(loop, agentAddress), this::heard);
         intake = new Intake(loop, sockets / 2, new Clients());
-        new Discovery(loop, new Agent(loop, config.discovery()), this::listed).start(config.known());
+        discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
+        discovery.start(config.known());
         return null;
     }
 
+    /**
+     * Reads the configuration again, on the caller's thread, since a file may be slow. Only discovery's
+     * address is taken over: all else holds for the life of a process. A file that can't be read, or names no
+     * address, leaves the old one standing.
+     */
+    void reload(Map<String, String> env) {
+        try {
+            InetSocketAddress address = Config.read(env).discovery();
+            loop.execute(() -> moveTo(address));
+        } catch (BadInput | IOException e) {
+            Log.line("the configuration can't be read again, the old one stands: " + e.getMessage());
+        }
+    }
+
+    private void moveTo(InetSocketAddress address) {
+        Log.line("configuration read again; discovery is at " + Endpoints.hostPort(address));
+        if (!address.equals(agentAddress)) {
+            agentAddress = address;
+            discovery.moveTo(new Agent(loop, address));
+            notices.moveTo(new Agent(loop, address));
+        }
+    }
+
     /**
      * What an earlier life held goes back to the module, with what it did; notices owed go out again. Not
      * before a list is known: without one the module could only give all of it up.
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -114,7 +115,12 @@
                    "dial_timeout_ms":1000,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
                 """.formatted(agent.hostPort(), known ? list() : "null", classes, MAX_OPEN));
-        return Config.read(Map.of("GW_CONFIG", file.toString(), "GW_STATE", folder.resolve("state").toString()));
+        return Config.read(environment());
+    }
+
+    private Map<String, String> environment() {
+        return Map.of("GW_CONFIG", folder.resolve("config.json").toString(), "GW_STATE",
+                folder.resolve("state").toString());
     }
 
     private void start() throws Exception {
@@ -383,6 +389,99 @@
         assertTrue(calls().isEmpty());
     }
 
+    // ---- a new configuration ----
+
+    /** A second agent, which counts its generations from anew; nothing moves before the program is told. */
+    private Stub secondAgent(List<String> told) throws IOException {
+        return new Stub((request, socket) -> {
+            if (request.line().startsWith("POST")) {
+                told.addAll(List.of(request.body().trim().split("\n")));
+                Stub.write(socket, "HTTP/1.1 204 x\r\n\r\n");
+            } else if (!request.line().contains("after=")) {
+                String list = list().replace("\"generation\":" + generation(), "\"generation\":1");
+                Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+            }
+        });
+    }
+
+    @Test
+    void aNewConfigurationMovesTheWatchAndTheNoticesAtOnce() throws Exception {
+        script(Stub.status(500, ""));
+        reportStatus = 500;
+        start();
+        handIn("one", "once");
+        Stub.await("the watch and a notice that is not heard", () -> agent.requests.stream()
+                .anyMatch(r -> r.line().contains("after=")) && agent.requests.stream()
+                .anyMatch(r -> r.line().startsWith("POST")));
+        List<String> told = new CopyOnWriteArrayList<>();
+        Stub old = agent;
+        try (Stub fresh = secondAgent(told)) {
+            agent = fresh;
+            config();
+            sender.reload(environment());
+            Stub.await("the notice, told to the new address", () -> told.size() == 1);
+            Stub.await("a whole list, then a watch", () -> fresh.requests.stream()
+                    .filter(r -> r.line().startsWith("GET")).count() == 2);
+            List<String> asked = fresh.requests.stream().map(Stub.Message::line)
+                    .filter(line -> line.startsWith("GET")).toList();
+            assertEquals("GET /v1/servers HTTP/1.1", asked.get(0));
+            assertTrue(asked.get(1).startsWith("GET /v1/servers?after=1&"), asked.get(1));
+            awaitNothingHeld();
+            script(Stub.status(200, ""));
+            handIn("two", "order");
+            awaitNothingHeld();
+        } finally {
+            agent = old;
+        }
+    }
+
+    @Test
+    void anUnreadableConfigurationLeavesTheOldOneStanding() throws Exception {
+        start();
+        Files.writeString(folder.resolve("config.json"), "{\"name\":");
+        sender.reload(environment());
+        Files.writeString(folder.resolve("config.json"), "{}");
+        sender.reload(environment());
+        String before = generation();
+        states = "SERVING DRAINING";
+        Stub.await("the old agent is asked on", () -> !before.equals(generation()) && agent.requests.stream()
+                .anyMatch(r -> r.line().contains("after=" + generation())));
+        handIn("one", "order");
+        awaitNothingHeld();
+    }
+
+    /** The environment keeps the address that was true at the first start. */
+    @Test
+    void theFilesDiscoveryGoesBeforeTheEnvironments() throws Exception {
+        config();
+        Map<String, String> stale = new HashMap<>(environment());
+        stale.put("GW_DISCOVERY", "127.0.0.1:1");
+        assertEquals(agent.address(), Config.read(stale).discovery());
+    }
+
+    /** The program itself, as a process: SIGHUP moves it and does not end it; SIGTERM still drains. */
+    @Test
+    void theProcessMovesOnSighup() throws Exception {
+        config();
+        Process process = process();
+        List<String> told = new CopyOnWriteArrayList<>();
+        Stub old = agent;
+        try (Stub fresh = secondAgent(told)) {
+            agent = fresh;
+            config();
+            assertEquals(0, new ProcessBuilder("sh", "-c", "kill -HUP " + process.pid()).start().waitFor());
+            Stub.await("the new agent is asked", () -> !fresh.requests.isEmpty());
+            script(Stub.status(500, ""));
+            handIn("one", "once");
+            Stub.await("the notice, told to the new address", () -> told.size() == 1);
+            process.destroy();
+            assertNotEquals(129, process.waitFor());
+        } finally {
+            agent = old;
+            process.destroyForcibly().waitFor();
+        }
+    }
+
     // ---- clients ----
 
     @Test
@@ -535,8 +634,7 @@
     private Process process() throws Exception {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
                 "-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve");
-        builder.environment().putAll(Map.of("GW_CONFIG", folder.resolve("config.json").toString(),
-                "GW_STATE", folder.resolve("state").toString()));
+        builder.environment().putAll(environment());
         Path log = Files.createTempFile(folder, "log", "");
         Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
         String ready = " listens at 127.0.0.1:";
