Clients that send what can't be read, half of it or nothing are answered or closed in time

Ruled out: CPU (0.46 of a core at most) and errors' cost. Mend, in Intake: a request must be whole 2 s after its first byte, the first one after connecting; each connection is in one state (ending, silent, idle, asking), and makes room in that order; both lengths, or a coding that is not plain chunked, is 400 and a close, and what lies behind the last answer is not read. Budgets are bounded by the class, ids by 256 characters; an id that is over is not taken on again. Sockets: 48 set aside in place of 96, since 30 are seen, so that clients may hold a third of 256. Tests over loopback for each; they fail without the mend.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -7,11 +7,14 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -21,16 +24,20 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -40,11 +47,22 @@
  * The client side: checks what is handed in, and answers it. A message is journalled before its 202 is
  * written, and told to the module once that is out; what can't be taken is refused, and bad input is
  * answered without harm to anything else.
+ *
+ * <p>A connection holds a socket, so each has a time limit: a request must be whole so long after its first
+ * byte, the first request of a connection so long after connecting, and one between requests is kept for a
+ * while only. When there are too many, those that never asked anything make room first.
  */
 final class Intake {
     private static final int LONGEST_BODY = 64 * 1024;
-    /** A connection without traffic for so long is closed, lest half a request hold it for good. */
-    private static final int IDLE_S = 60;
+    /** The id goes into the journal and on to endpoints; one that is longer is no id. */
+    private static final int LONGEST_ID = 256;
+    /** From connecting, or from a later request's first byte, until the request is whole. */
+    private static final long REQUEST_MS = 2000;
+    /** A connection between requests is kept for so long. */
+    private static final long IDLE_MS = 10_000;
+    /** From the answer to what is too long until the close: closing at once could reset it unread. */
+    private static final long LINGER_MS = 500;
+    private static final long SWEEP_MS = 200;
 
     /** What a request asks to be delivered. */
     record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
@@ -63,25 +81,35 @@
 
         boolean needsKey(String messageClass);
 
-        /** Journals a message, or refuses it by an empty answer; a message that is held already is kept. */
+        /** Whether a list has ever named this destination, be its endpoints away or not. */
+        boolean knowsDestination(long destination);
+
+        /** How a message with this id was answered before, if one is held, or was until a moment ago. */
+        Optional<HttpResponseStatus> answeredBefore(String id);
+
+        /** Journals a message, or refuses it by an empty answer. */
         Optional<Held> take(Submission submission);
 
         /** The client has heard that it was taken, or never will. */
         void answered(Held held, boolean heard);
     }
 
+    private final EventLoop loop;
     private final Desk desk;
     private final int mostClients;
-    /** Connections between requests, the longest idle first. */
-    private final Set<Channel> idle = new LinkedHashSet<>();
+    /** The connections in each state, those that are in it longest first. */
+    private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
     private final ServerBootstrap bootstrap;
     private Channel listener;
-    private int clients;
     private boolean closing;
 
     Intake(EventLoop loop, int mostClients, Desk desk) {
+        this.loop = loop;
         this.desk = desk;
         this.mostClients = mostClients;
+        for (State state : State.values()) {
+            clients.put(state, new LinkedHashSet<>());
+        }
         bootstrap = new ServerBootstrap().group(loop, loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 512)
@@ -90,10 +118,12 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S), new HttpServerCodec(),
-                                new Bodies(), new Client());
+                        Client client = new Client(channel);
+                        channel.pipeline().addLast(client.requests, new HttpResponseEncoder(), new Framing(),
+                                new Bodies(client), client);
                     }
                 });
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Begins to listen, and waits until it does: so it is not called on the loop. */
@@ -113,102 +143,224 @@
 
     /** Connections that clients have open. */
     int clients() {
-        return clients;
+        return clients.values().stream().mapToInt(Set::size).sum();
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        clients.forEach((state, members) -> {
+            long limitMs = switch (state) {
+                case ENDING -> LINGER_MS;
+                case SILENT, ASKING -> REQUEST_MS;
+                case IDLE -> closing ? Long.MAX_VALUE : IDLE_MS;
+            };
+            members.stream().takeWhile(c -> TimeUnit.NANOSECONDS.toMillis(now - c.since) >= limitMs).toList()
+                    .forEach(Client::outOfTime);
+        });
+    }
+
+    /** What a connection is at, in the order in which they make room for others. */
+    private enum State {
+        /** The last answer is out; what still comes is not read. */
+        ENDING,
+        /** Nothing was asked yet, or only in part. */
+        SILENT,
+        /** Between requests. */
+        IDLE,
+        /** A later request has come in part. */
+        ASKING
     }
 
-    /** Collects bodies; a longer one is answered 413, and what the client still sends is read and dropped. */
+    /** Netty's decoder, which tells of first bytes and of what lies behind a whole request. */
+    private static final class Requests extends HttpRequestDecoder {
+        private final Client client;
+
+        Requests(Client client) {
+            this.client = client;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+            client.begun();
+            super.channelRead(ctx, bytes);
+        }
+
+        /** Left as it is: {@link Framing} turns such a request away. */
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        }
+
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
+    /**
+     * Turns away a request whose length can be read in two ways, or in none: what one reader takes for its
+     * body may be another request to the next reader.
+     */
+    private static final class Framing extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object part) {
+            if (part instanceof HttpRequest request) {
+                List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+                boolean plain = codings.isEmpty() || codings.size() == 1
+                        && codings.get(0).equalsIgnoreCase(HttpHeaderValues.CHUNKED.toString())
+                        && request.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                        && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+                if (!plain && request.decoderResult().isSuccess()) {
+                    request.setDecoderResult(DecoderResult.failure(new BadInput("the length is not clear")));
+                }
+            }
+            ctx.fireChannelRead(part);
+        }
+    }
+
+    /** Collects bodies; a longer one is answered 413, and what the client still sends is not read. */
     private static final class Bodies extends HttpObjectAggregator {
-        Bodies() {
+        private final Client client;
+
+        Bodies(Client client) {
             super(LONGEST_BODY);
+            this.client = client;
         }
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            FullHttpResponse answer = answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
-            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            // Closing at once would reset the connection under a client that still sends, before it reads.
-            ctx.writeAndFlush(answer).addListener(f -> ctx.executor().schedule(() -> ctx.close(), 1,
-                    TimeUnit.SECONDS));
+            client.last(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
         }
     }
 
+    /** One connection of a client. */
     private final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Channel channel;
+        private final Requests requests = new Requests(this);
+        private State state = State.SILENT;
+        /** When the state began. */
+        private long since = System.nanoTime();
+        /** A first byte has come of the request that is awaited. */
+        private boolean begun;
+
+        Client(Channel channel) {
+            this.channel = channel;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            // The sockets are limited: the longest idle client makes room, which it may be asked to.
-            if (++clients > mostClients) {
-                Channel victim = idle.isEmpty() ? ctx.channel() : idle.iterator().next();
-                victim.close();
-            }
-            if (ctx.channel().isActive()) {
-                idle.add(ctx.channel());
+            clients.get(state).add(this);
+            if (clients() > mostClients) {
+                clients.values().stream().flatMap(Set::stream).filter(c -> c != this).findFirst().orElse(this)
+                        .channel.close();
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            clients--;
-            idle.remove(ctx.channel());
+            clients.get(state).remove(this);
+        }
+
+        private void enter(State next) {
+            if (clients.get(state).remove(this)) {
+                clients.get(next).add(this);
+            }
+            state = next;
+            since = System.nanoTime();
+        }
+
+        /** Bytes have come: the time of a request runs from its first. */
+        private void begun() {
+            begun = true;
+            if (state == State.IDLE) {
+                enter(State.ASKING);
+            }
+        }
+
+        private void outOfTime() {
+            if (begun && state != State.ENDING) {
+                last(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
+            } else {
+                channel.close();
+            }
+        }
+
+        /** Answers what was not read to its end, and closes a little later. */
+        private void last(HttpResponseStatus status, String text) {
+            enter(State.ENDING);
+            channel.config().setAutoRead(false);
+            FullHttpResponse answer = answer(status, text);
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            channel.writeAndFlush(answer);
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            idle.remove(ctx.channel());
+            if (state == State.ENDING) {
+                // What lies behind the last request may have been hidden in its body.
+                return;
+            }
+            begun = requests.holdsMore();
+            enter(begun ? State.ASKING : State.IDLE);
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
-                end(ctx, request, HttpResponseStatus.BAD_REQUEST, "not HTTP", true);
+                last(HttpResponseStatus.BAD_REQUEST, "not HTTP");
             } else if (path.equals("/healthz")) {
-                end(ctx, request, desk.ready() ? HttpResponseStatus.OK
-                        : HttpResponseStatus.SERVICE_UNAVAILABLE, "", false);
+                end(request, desk.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
             } else if (!desk.knowsClass(path.split("/", 3).length > 1 ? path.split("/", 3)[1] : "")) {
-                end(ctx, request, HttpResponseStatus.NOT_FOUND, "no such path", false);
+                end(request, HttpResponseStatus.NOT_FOUND, "no such path");
             } else if (!request.method().equals(HttpMethod.POST)) {
-                end(ctx, request, HttpResponseStatus.METHOD_NOT_ALLOWED, "messages are handed in by POST",
-                        false);
+                end(request, HttpResponseStatus.METHOD_NOT_ALLOWED, "messages are handed in by POST");
             } else {
-                handIn(ctx, request, path);
+                handIn(request, path);
             }
         }
 
-        private void handIn(ChannelHandlerContext ctx, FullHttpRequest request, String path) {
+        private void handIn(FullHttpRequest request, String path) {
             Submission submission;
             try {
                 submission = read(request, path.split("/", 3)[1]);
             } catch (BadInput bad) {
-                end(ctx, request, HttpResponseStatus.BAD_REQUEST, bad.getMessage(), false);
+                end(request, HttpResponseStatus.BAD_REQUEST, bad.getMessage());
+                return;
+            }
+            Optional<HttpResponseStatus> before = desk.answeredBefore(submission.id());
+            if (before.isPresent()) {
+                end(request, before.get(), "");
+                return;
+            }
+            if (!desk.knowsDestination(submission.destination())) {
+                end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no list names this dest");
                 return;
             }
             Optional<Held> taken = desk.take(submission);
             if (taken.isEmpty()) {
-                end(ctx, request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no room", false);
+                end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no room");
                 return;
             }
-            end(ctx, request, HttpResponseStatus.ACCEPTED, "", false)
+            end(request, HttpResponseStatus.ACCEPTED, "")
                     .addListener(f -> desk.answered(taken.get(), f.isSuccess()));
         }
 
-        private ChannelFuture end(ChannelHandlerContext ctx, FullHttpRequest request,
-                HttpResponseStatus status, String text, boolean close) {
-            FullHttpResponse answer = answer(status, text);
-            boolean last = close || closing || !HttpUtil.isKeepAlive(request);
-            if (last) {
-                answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            } else {
-                idle.add(ctx.channel());
+        private ChannelFuture end(FullHttpRequest request, HttpResponseStatus status, String text) {
+            FullHttpResponse answer = answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text);
+            if (!closing && HttpUtil.isKeepAlive(request)) {
+                return channel.writeAndFlush(answer);
             }
-            ChannelFuture written = ctx.writeAndFlush(answer);
-            return last ? written.addListener(ChannelFutureListener.CLOSE) : written;
+            enter(State.ENDING);
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            return channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
         }
 
+        /** A client that does not read its answers is not read either. */
         @Override
-        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-            if (event instanceof IdleStateEvent) {
-                ctx.close();
-            }
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            channel.config().setAutoRead(channel.isWritable() && state != State.ENDING);
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException || cause instanceof CodecException)) {
+                Log.line("a client's connection is closed: " + cause);
+            }
             ctx.close();
         }
     }
@@ -223,6 +375,9 @@
     private Submission read(FullHttpRequest request, String inPath) throws BadInput {
         HttpHeaders headers = request.headers();
         String id = required(headers, "X-Call-Id");
+        if (id.length() > LONGEST_ID) {
+            throw new BadInput("X-Call-Id is too long");
+        }
         String messageClass = headers.get("X-Call-Class", inPath);
         if (!messageClass.equals(inPath)) {
             throw new BadInput("the class in the path is another than in X-Call-Class");
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -4,13 +4,17 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.BadInput;
@@ -21,8 +25,12 @@
  * thread alone touches the module and all that hangs on it, so nothing here is locked. It decides nothing.
  */
 public final class Sender implements Relay.Actions {
-    /** Descriptors that are neither clients nor calls: the machine's own, the journal, the agent. */
-    private static final int OTHER_SOCKETS = 96;
+    /** Descriptors that are neither clients nor calls: the machine's own (30 are seen), the journal, agents. */
+    private static final int OTHER_SOCKETS = 48;
+    /** Share of the rest for clients, who may hold a third of all for requests; the others are for calls. */
+    private static final double CLIENT_SHARE = 0.5;
+    /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
+    private static final int ENDED_KNOWN = 4096;
     /** From SIGTERM: new connections come for so long at most. */
     static final long TAKING_MS = 450;
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
@@ -41,6 +49,17 @@
     /** What is held and not over, by the module's number, and by the client's id. */
     private final Map<Long, Held> open = new HashMap<>();
     private final Map<String, Held> byId = new HashMap<>();
+    /** Ids of messages that were over last, and whether they were delivered. */
+    private final Map<String, Boolean> ended = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > ENDED_KNOWN;
+        }
+    };
+    /** Destinations that a list has named. */
+    private final Set<Long> destinations = new HashSet<>();
     /** Attempts that are out, by message and attempt. */
     private final Map<Out, Endpoints.Call> calls = new HashMap<>();
     private final Relay relay;
@@ -94,13 +113,13 @@
     private Void open() throws IOException {
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
-        int slots = config.settings().slots();
-        int mostIdle = Math.max(1, sockets / 2 - slots);
+        int mostClients = (int) (sockets * CLIENT_SHARE);
+        int mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
                 this::attemptEnded);
         agentAddress = config.discovery();
         notices = new Notices(loop, new Agent(loop, agentAddress), this::heard);
-        intake = new Intake(loop, sockets / 2, new Clients());
+        intake = new Intake(loop, mostClients, new Clients());
         discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
         discovery.start(config.known());
         return null;
@@ -259,6 +278,7 @@
 
     private void end(Held held, Held.Notice notice) {
         over(held);
+        ended.put(held.id, false);
         try {
             journal.owed(held, notice);
         } catch (IOException e) {
@@ -281,6 +301,7 @@
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
                 over(held);
+                ended.put(held.id, true);
                 journal.ended(held);
             } else if (!held.over && !outcome.mayHaveRun()) {
                 journal.neverRan(held, attempt);
@@ -313,6 +334,7 @@
         List<Relay.Endpoint> list = new ArrayList<>();
         for (Discovery.Entry e : entries) {
             long number = endpointNumber(e.id());
+            destinations.add(e.destination());
             endpoints.at(number, e.address(), e.serving());
             list.add(new Relay.Endpoint(number, e.destination(), Math.max(0, config.kinds().indexOf(e.kind())),
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight()));
@@ -356,16 +378,29 @@
         }
 
         @Override
-        public Optional<Held> take(Intake.Submission s) {
-            Held known = byId.get(s.id());
-            if (known != null) {
-                return Optional.of(known);
+        public boolean knowsDestination(long destination) {
+            return destinations.contains(destination);
+        }
+
+        /** What was ended by a notice is not taken on again under its id, nor is it owed anything more. */
+        @Override
+        public Optional<HttpResponseStatus> answeredBefore(String id) {
+            if (byId.containsKey(id)) {
+                return Optional.of(HttpResponseStatus.ACCEPTED);
             }
+            return Optional.ofNullable(ended.get(id)).map(delivered ->
+                    delivered ? HttpResponseStatus.ACCEPTED : HttpResponseStatus.CONFLICT);
+        }
+
+        @Override
+        public Optional<Held> take(Intake.Submission s) {
             if (!ready || open.size() >= config.maxOpen()) {
                 return Optional.empty();
             }
+            double mostMs = config.settings().classes().get(config.classes().indexOf(s.messageClass()))
+                    .deadlineMs();
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
-                    s.destination(), System.currentTimeMillis() + s.budgetMs(), s.body());
+                    s.destination(), System.currentTimeMillis() + (long) Math.min(s.budgetMs(), mostMs), s.body());
             try {
                 journal.taken(held);
             } catch (IOException e) {
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -494,6 +495,10 @@
                 Map.entry("GET /order HTTP/1.1\r\nHost: x\r\n\r\n", "405"),
                 Map.entry("\u0001\u0002 rubbish\r\n\r\n", "400"),
                 Map.entry(good.replace("X-Call-Id: id\r\n", ""), "400"),
+                Map.entry(good.replace("X-Call-Id: id", "X-Call-Id: " + "i".repeat(300)), "400"),
+                Map.entry(good.replace("Content-Length: 5", "Content-Length: -5"), "400"),
+                Map.entry(good.replace("Content-Length: 5", "Content-Length: 5\r\nContent-Length: 6"), "400"),
+                Map.entry(good.replace("Content-Length: 5", "Content-Length: 60000000"), "413"),
                 Map.entry(good.replace("X-Budget-Ms: 24000", "X-Budget-Ms: soon"), "400"),
                 Map.entry(good.replace("X-Budget-Ms: 24000", "X-Budget-Ms: -1"), "400"),
                 Map.entry(good.replace("dest=7", "dest=x"), "400"),
@@ -510,6 +515,105 @@
         handIn("good", "order");
     }
 
+    /** Reads to the end of the connection, however soon that comes; fails if it never does. */
+    private static String untilClosed(Socket socket) throws IOException {
+        socket.setSoTimeout(30_000);
+        try {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (SocketException reset) {
+            return "";
+        }
+    }
+
+    @Test
+    void aRequestOfTwoLengthsIsTurnedAwayWithWhatItHides() throws Exception {
+        start();
+        String hidden = message("hidden", "order", "hello");
+        for (String coding : List.of("chunked", "xchunked", "gzip, chunked", "identity")) {
+            Socket client = client();
+            Stub.write(client, message("outer", "order", "0\r\n\r\n" + hidden).replace("Host: x\r\n",
+                    "Host: x\r\nTransfer-Encoding: " + coding + "\r\n"));
+            String answers = untilClosed(client);
+            assertTrue(answers.startsWith("HTTP/1.1 400 ") && !answers.contains("202"), coding + ": " + answers);
+        }
+        assertTrue(journalled().isEmpty() && calls().isEmpty());
+    }
+
+    @Test
+    void whatNeverBecomesARequestIsClosedBeforeLong() throws Exception {
+        start();
+        String whole = message("half", "order", "hello");
+        Socket silent = client();
+        Socket half = client();
+        Stub.write(half, whole.substring(0, whole.length() - 2));
+        Socket later = client();
+        ask(later, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        Stub.write(later, whole.substring(0, 30));
+        Socket behind = client();
+        assertEquals("HTTP/1.1 200 OK", ask(behind, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+                + whole.substring(0, 30)).line());
+        Socket endless = client();
+        Stub.write(endless, "GET /healthz HTTP/1.1\r\n" + "X-More: more\r\n".repeat(2000));
+        assertEquals("", untilClosed(silent));
+        assertTrue(untilClosed(half).startsWith("HTTP/1.1 408 "));
+        assertTrue(untilClosed(later).startsWith("HTTP/1.1 408 "));
+        assertTrue(untilClosed(behind).startsWith("HTTP/1.1 408 "));
+        assertFalse(untilClosed(endless).contains("200"));
+        assertTrue(journalled().isEmpty());
+    }
+
+    @Test
+    void hundredsThatSayNothingKeepNobodyOut() throws Exception {
+        start();
+        Socket usual = client();
+        assertEquals("202", ask(usual, message("one", "order", "hello")).line().split(" ")[1]);
+        for (int i = 0; i < 300; i++) {
+            client();
+        }
+        handIn("two", "order");
+        assertEquals("202", ask(usual, message("three", "order", "hello")).line().split(" ")[1],
+                "one that asked before keeps its connection");
+    }
+
+    @Test
+    void aDestinationThatNoListNamedIsRefusedAndOneThatIsAwayIsTaken() throws Exception {
+        start();
+        String other = message("other", "order", "hello").replace("dest=7", "dest=8");
+        assertEquals("503", ask(client(), other).line().split(" ")[1]);
+        assertTrue(journalled().isEmpty());
+        states = "DRAINING DRAINING";
+        Stub.await("the list is read", () -> agent.requests.stream()
+                .anyMatch(r -> r.line().contains("after=" + generation())));
+        handIn("away", "order");
+        assertEquals(1, journalled().size());
+    }
+
+    @Test
+    void aBudgetIsBoundedByItsClass() throws Exception {
+        script(Stub.silent());
+        start();
+        String budget = "X-Budget-Ms: " + Long.MAX_VALUE;
+        long before = System.currentTimeMillis();
+        assertEquals("202", ask(client(), message("one", "order", "hello").replace("X-Budget-Ms: 24000", budget))
+                .line().split(" ")[1]);
+        long leftMs = journalled().get(0).deadlineMs - before;
+        assertTrue(leftMs >= 24_000 && leftMs <= 24_000 + System.currentTimeMillis() - before, leftMs + " ms");
+    }
+
+    @Test
+    void anIdThatIsOverIsNotTakenAgain() throws Exception {
+        start();
+        handIn("one", "order");
+        awaitNothingHeld();
+        handIn("one", "order");
+        script(Stub.status(500, ""));
+        handIn("two", "once");
+        awaitNotice("{\"ref\":\"two\",\"result\":\"dead\"}");
+        assertEquals("409", ask(client(), message("two", "order", "hello")).line().split(" ")[1]);
+        assertEquals(2, calls().size());
+        assertTrue(journalled().isEmpty());
+    }
+
     @Test
     void bodiesMayHaveSixtyFourKibAndAnyBytes() throws Exception {
         start();
