Spoilt answers end their attempt at once; what comes behind an answer meets no later call

Cause, by reading and by tests that failed: a 200 whose head is bad was BROKEN (delivered by the protocol), an endless head or a body of 3 GB held its call till the time-out, a second copy right behind an answer met the next call on that connection and was taken for its answer, Retry-After of NaN or infinity went on to the module, 101 turned the codec to raw bytes. Mend, in Endpoints: FirstLine before the codec reads the status line; other answers count when whole, within 1 s of their first byte and 64 KiB; a connection rests 10 ms before it is kept, and is closed when anything came or is left in the decoder; one to an old address is not kept. A call that can't be written gets its end.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -1,10 +1,12 @@
 package kestreldeal.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -12,11 +14,13 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -30,6 +34,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import kestreldeal.Relay.Outcome;
 
 /**
@@ -40,6 +46,14 @@
     /** Idle connections are dropped at this share of the time after which an endpoint drops them. */
     private static final double IDLE_SHARE = 0.8;
     private static final long SWEEP_MS = 500;
+    /** An answer's body means nothing, and the protocol ends it here. */
+    private static final int LONGEST_ANSWER = 64 * 1024;
+    /** From an answer's first byte to its last: one that takes longer is held to be spoilt. */
+    private static final long ANSWER_MS = 1000;
+    /** A connection rests for so long before its next call, lest what comes behind an answer be taken for one. */
+    private static final long REST_MS = 10;
+    /** Longest wait that is believed: no message is held for so long. */
+    private static final double LONGEST_WAIT_MS = 60_000;
 
     /** Told of the end of each call; {@code gone}: the message is over, whatever else is true. */
     interface Ends {
@@ -65,7 +79,9 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new Connection());
+                        Connection connection = new Connection(channel);
+                        channel.pipeline().addLast(new FirstLine(connection), connection.answers,
+                                new HttpRequestEncoder(), connection);
                     }
                 });
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -88,7 +104,8 @@
         if (kept != null) {
             call.write(kept);
         } else {
-            bootstrap.connect(call.peer.address).addListener((ChannelFuture f) -> call.connected(f));
+            InetSocketAddress dialled = call.peer.address;
+            bootstrap.connect(dialled).addListener((ChannelFuture f) -> call.connected(f, dialled));
         }
         return call;
     }
@@ -157,7 +174,7 @@
             this.timeoutMs = timeoutMs;
         }
 
-        private void connected(ChannelFuture f) {
+        private void connected(ChannelFuture f, InetSocketAddress dialled) {
             if (done) {
                 f.channel().close();
             } else if (!f.isSuccess()) {
@@ -165,13 +182,34 @@
             } else {
                 Connection fresh = f.channel().pipeline().get(Connection.class);
                 fresh.peer = peer;
+                fresh.address = dialled;
                 write(fresh);
             }
         }
 
         private void write(Connection on) {
+            FullHttpRequest request;
+            try {
+                request = request();
+            } catch (IllegalArgumentException e) {
+                // A value that is no header's: no byte of it is out, and the attempt still needs its end.
+                Log.line("a call can't be written: " + e.getMessage());
+                end(Outcome.UNREACHABLE);
+                on.close();
+                return;
+            }
             connection = on;
-            on.call = this;
+            on.begin(this);
+            on.channel.writeAndFlush(request).addListener(f -> {
+                flushed |= f.isSuccess();
+                if (!f.isSuccess()) {
+                    lost();
+                    close();
+                }
+            });
+        }
+
+        private FullHttpRequest request() {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                     "/v1/messages", Unpooled.wrappedBuffer(held.body));
             request.headers()
@@ -180,13 +218,7 @@
                     .set("X-Budget-Ms", Math.max(1, (long) timeoutMs))
                     .set(HttpHeaderNames.CONTENT_LENGTH, held.body.length);
             held.key.ifPresent(key -> request.headers().set("Idempotency-Key", key));
-            on.channel.writeAndFlush(request).addListener(f -> {
-                flushed |= f.isSuccess();
-                if (!f.isSuccess()) {
-                    lost();
-                    close();
-                }
-            });
+            return request;
         }
 
         private void timedOut() {
@@ -220,10 +252,17 @@
             loop.execute(() -> ends.ended(this, outcome, gone, waitMs));
         }
 
-        /**
-         * What an answer's first line and headers say, by the protocol's table. The time-out runs on, lest a
-         * body that never ends hold the connection for good.
-         */
+        /** The first line said 200: that is true whatever follows. */
+        private void delivered() {
+            end(Outcome.DELIVERED, false, 0);
+        }
+
+        /** What cannot be read may have run; a delivery that was read before stands. */
+        private void spoilt() {
+            end(Outcome.BROKEN);
+        }
+
+        /** What a whole answer says, by the protocol's table. */
         private void answered(HttpResponse response) {
             int code = response.status().code();
             Outcome outcome = switch (code) {
@@ -237,11 +276,11 @@
         }
     }
 
-    /** The told wait, rounded up; an unreadable one counts as none. */
+    /** The told wait; an unreadable one counts as none, and one without end would stop a destination for good. */
     private static double waitMs(HttpResponse response) {
         try {
-            return Math.max(0, Double.parseDouble(response.headers().get(HttpHeaderNames.RETRY_AFTER, "0"))
-                    * 1000);
+            double waitMs = Double.parseDouble(response.headers().get(HttpHeaderNames.RETRY_AFTER, "0")) * 1000;
+            return waitMs > 0 ? Math.min(waitMs, LONGEST_WAIT_MS) : 0;
         } catch (NumberFormatException e) {
             return 0;
         }
@@ -251,48 +290,190 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
+    /**
+     * Reads the first line of each answer before the codec does. A line with 200 ends the call at once, as
+     * nothing behind it can change that; what is no first line ends it too, since a head that never ends
+     * would keep it till its time-out. It reads past heads of 1xx answers and leaves all else to the codec.
+     */
+    private static final class FirstLine extends ChannelInboundHandlerAdapter {
+        private static final int LONGEST = 4096;
+        private static final String START = "HTTP/1.";
+        /** HTTP/1.1, a code of three digits, and a reason if any. */
+        private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?");
+
+        private final Connection connection;
+        private final StringBuilder line = new StringBuilder();
+        private boolean inInterimHead;
+
+        FirstLine(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object read) {
+            ByteBuf bytes = (ByteBuf) read;
+            if (connection.call == null) {
+                // Nobody asked for this: the connection can't be trusted any more.
+                connection.close();
+            }
+            for (int i = bytes.readerIndex(); i < bytes.writerIndex() && connection.awaitsFirstLine(); i++) {
+                connection.answerBegins();
+                take((char) (bytes.getByte(i) & 0xff));
+            }
+            ctx.fireChannelRead(read);
+        }
+
+        private void take(char c) {
+            if (c != '\n') {
+                line.append(c);
+                // Noise may come without a line's end.
+                boolean noise = !inInterimHead && line.length() <= START.length()
+                        && !START.startsWith(line.toString());
+                if (noise || line.length() > LONGEST) {
+                    connection.spoilt();
+                }
+                return;
+            }
+            String text = line.toString().stripTrailing();
+            line.setLength(0);
+            if (inInterimHead) {
+                inInterimHead = !text.isEmpty();
+                if (!inInterimHead) {
+                    connection.interimEnds();
+                }
+                return;
+            }
+            Matcher status = STATUS.matcher(text);
+            if (!status.matches() || status.group(1).equals("101")) {
+                connection.spoilt();
+            } else if (status.group(1).startsWith("1")) {
+                inInterimHead = true;
+            } else {
+                connection.firstLine(Integer.parseInt(status.group(1)));
+            }
+        }
+    }
+
+    /** Netty's decoder, which tells of what lies behind a whole answer. */
+    private static final class Answers extends HttpResponseDecoder {
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
     /** A connection to an endpoint; it carries one call at a time. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
-        private Channel channel;
+        private final Channel channel;
+        private final Answers answers = new Answers();
         private Peer peer;
+        /** Where it leads: its peer may have moved since. */
+        private InetSocketAddress address;
         private Call call;
+        /** The answer's head, once it has come. */
+        private HttpResponse head;
+        private boolean lineRead;
+        private long bodyBytes;
+        private Future<?> answerTimer;
         private long idleSince;
-        private boolean keep;
-        private boolean interim;
 
-        @Override
-        public void handlerAdded(ChannelHandlerContext ctx) {
-            channel = ctx.channel();
+        Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        private void begin(Call next) {
+            call = next;
+            head = null;
+            lineRead = false;
+            bodyBytes = 0;
+            answerTimer = null;
+        }
+
+        /** From here on the answer has to end before long. */
+        private void answerBegins() {
+            if (answerTimer == null) {
+                answerTimer = loop.schedule(this::spoilt, ANSWER_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /** A 1xx answer was ahead; the real one may take its time. */
+        private void interimEnds() {
+            answerTimer.cancel(false);
+            answerTimer = null;
+        }
+
+        private boolean awaitsFirstLine() {
+            return call != null && !lineRead;
+        }
+
+        private void firstLine(int code) {
+            lineRead = true;
+            if (code == 200) {
+                call.delivered();
+            }
+        }
+
+        /** The answer can't be read, or does not end: nothing that may still come on it is of use. */
+        private void spoilt() {
+            if (call != null) {
+                call.spoilt();
+                finish();
+            }
+            close();
+        }
+
+        /** The call has no more to do with this connection. */
+        private void finish() {
+            call.timer.cancel(false);
+            if (answerTimer != null) {
+                answerTimer.cancel(false);
+            }
+            call = null;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
             if (call == null || part.decoderResult().isFailure()) {
-                // Nothing was asked, or what came is not HTTP: the connection can't be trusted any more.
-                ctx.close();
+                spoilt();
                 return;
             }
             if (part instanceof HttpResponse response) {
-                interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-                if (!interim) {
-                    // An answer that overtakes its request leaves the connection in the middle of it.
-                    keep = HttpUtil.isKeepAlive(response) && call.flushed;
-                    call.answered(response);
+                head = response;
+                if (HttpUtil.getContentLength(response, 0L) > LONGEST_ANSWER) {
+                    spoilt();
+                    return;
                 }
             }
-            if (part instanceof LastHttpContent && !interim) {
-                call.timer.cancel(false);
-                call = null;
-                if (keep && idle < mostIdle && ctx.channel().isActive()) {
-                    idleSince = System.nanoTime();
-                    peer.idle.addLast(this);
-                    idle++;
+            if (part instanceof HttpContent content) {
+                bodyBytes += content.content().readableBytes();
+                if (bodyBytes > LONGEST_ANSWER) {
+                    spoilt();
+                    return;
+                }
+            }
+            if (part instanceof LastHttpContent && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                call.answered(head);
+                // An answer that overtakes its request leaves the connection in the middle of it.
+                boolean keep = HttpUtil.isKeepAlive(head) && call.flushed && !answers.holdsMore();
+                finish();
+                if (keep && idle < mostIdle && channel.isActive()) {
+                    loop.schedule(this::rested, REST_MS, TimeUnit.MILLISECONDS);
                 } else {
-                    ctx.close();
+                    close();
                 }
             }
         }
 
+        /** Nothing came behind the answer: the next call may go over this connection. */
+        private void rested() {
+            if (channel.isActive() && idle < mostIdle && address.equals(peer.address)) {
+                idleSince = System.nanoTime();
+                peer.idle.addLast(this);
+                idle++;
+            } else {
+                close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (peer != null && peer.idle.remove(this)) {
@@ -300,6 +481,7 @@
             }
             if (call != null) {
                 call.lost();
+                finish();
             }
         }
 
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -1,6 +1,8 @@
 package kestreldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -10,8 +12,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.Relay.Outcome;
@@ -180,6 +184,118 @@
         assertEquals(0, kept());
     }
 
+    private static Stub.Script raw(String answer) {
+        return (request, socket) -> Stub.write(socket, answer);
+    }
+
+    /** None of these ends the connection, and the calls' time-out is too far off to be what ends them. */
+    @Test
+    void aSpoiltAnswerIsBrokenAtOnceAndItsConnectionClosed() throws Exception {
+        List<String> spoilt = List.of(
+                "\u0001\u0002 noise without a line",
+                "HTTP/1.1 2",
+                "HTTP/1.1 500 x\r\nX-More: more",
+                "HTTP/1.1 429 x\r\n" + "X-More: more\r\n".repeat(2000),
+                "HTTP/1.1 503 x\r\nContent-Length: many\r\n\r\n",
+                "HTTP/1.1 503 x\r\nContent-Length: -1\r\n\r\n",
+                "HTTP/1.1 429 x\r\nContent-Length: 10\r\n\r\nfour",
+                "HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\n" + "x".repeat(1000),
+                "HTTP/1.1 503 x\r\n\r\n" + "x".repeat(100_000),
+                "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+                "HTTP/1.1 twohundred x\r\nContent-Length: 0\r\n\r\n");
+        for (String answer : spoilt) {
+            stub.script(raw(answer));
+            start(new byte[1], 600_000);
+            assertEquals(new End(Outcome.BROKEN, false, 0), end(), answer);
+        }
+        assertEquals(spoilt.size(), stub.requests.stream().map(Stub.Message::connection).distinct().count(),
+                "no connection is used again");
+    }
+
+    @Test
+    void aFirstLineWith200IsADeliveryWhateverFollows() throws Exception {
+        for (String rest : List.of("", "X-More: more", "\u0001\u0002\r\n\r\n", "Content-Length: many\r\n\r\n",
+                "Content-Length: 10\r\n\r\nfour", "Content-Length: 3000000000\r\n\r\nxxx",
+                "X-More: more\r\n".repeat(2000))) {
+            int before = stub.ended();
+            stub.script(raw("HTTP/1.1 200 OK\r\n" + rest));
+            start(new byte[1], 600_000);
+            assertEquals(new End(Outcome.DELIVERED, false, 0), end(), rest);
+            Stub.await("the connection is closed", () -> stub.ended() == before + 1);
+        }
+    }
+
+    @Test
+    void whatComesBehindAnAnswerIsNotTakenForTheNext() throws Exception {
+        String ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        for (String behind : List.of(ok, "noise", "\r\n")) {
+            int before = stub.ended();
+            stub.script((request, socket) -> {
+                Stub.write(socket, ok);
+                Stub.write(socket, behind);
+            });
+            start(new byte[1], LONG_MS);
+            assertEquals(new End(Outcome.DELIVERED, false, 0), end());
+            stub.script(Stub.status(500, ""));
+            start(new byte[1], LONG_MS);
+            assertEquals(new End(Outcome.ERROR, false, 0), end(), "the next call's own answer");
+            Stub.await("the connection is closed", () -> stub.ended() > before);
+        }
+    }
+
+    @Test
+    void interimAnswersAheadAreSkippedHoweverLongTheRealOneTakes() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        stub.script((request, socket) -> {
+            Stub.write(socket, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+            go.await();
+            Stub.write(socket, "HTTP/1.1 429 x\r\nRetry-After: 0.5\r\nContent-Length: 0\r\n\r\n");
+        });
+        start(new byte[1], LONG_MS);
+        // Longer than a whole answer may take.
+        assertNull(ends.poll(1500, TimeUnit.MILLISECONDS));
+        go.countDown();
+        assertEquals(new End(Outcome.FULL, false, 500), end());
+    }
+
+    @Test
+    void aToldWaitIsANumberWithinBounds() throws Exception {
+        for (String none : List.of("NaN", "-Infinity", "-5", "soon")) {
+            assertEquals(new End(Outcome.FULL, false, 0), call(Stub.status(429, "Retry-After: " + none + "\r\n")));
+        }
+        for (String most : List.of("Infinity", "1e300", "99999999")) {
+            assertEquals(new End(Outcome.FULL, false, 60_000),
+                    call(Stub.status(429, "Retry-After: " + most + "\r\n")));
+        }
+    }
+
+    @Test
+    void aCallThatCantBeWrittenHasAnEnd() throws Exception {
+        Held held = new Held(1, "no\r\nheader", "order", "t", Optional.empty(), 7, 0, new byte[1]);
+        loop.submit(() -> endpoints.call(held, 0, 1, 600_000)).get();
+        assertEquals(new End(Outcome.UNREACHABLE, false, 0), end());
+        assertTrue(stub.requests.isEmpty());
+    }
+
+    @Test
+    void aConnectionToTheOldAddressOfAMovedEndpointIsNotUsedAgain() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        stub.script((request, socket) -> {
+            go.await();
+            Stub.status(200, "").come(request, socket);
+        });
+        start(new byte[1], LONG_MS);
+        Stub.await("the call is out", () -> stub.requests.size() == 1);
+        try (Stub moved = new Stub(Stub.status(500, ""))) {
+            at(moved.address());
+            go.countDown();
+            assertEquals(new End(Outcome.DELIVERED, false, 0), end());
+            Stub.await("the old connection is closed", () -> stub.ended() == 1);
+            start(new byte[1], LONG_MS);
+            assertEquals(new End(Outcome.ERROR, false, 0), end());
+        }
+    }
+
     private void awaitKept() throws Exception {
         Stub.await("the connection is kept", () -> kept() == 1);
     }
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/test/java/kestreldeal/net/Stub.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 /** A scripted HTTP server on a loopback socket, and the plain client side, for tests. */
@@ -37,6 +38,7 @@
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile Script script;
     private int connections;
+    private final AtomicInteger ended = new AtomicInteger();
 
     Stub(Script script) throws IOException {
         this.script = script;
@@ -56,6 +58,11 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
+    /** Connections that the other side has ended. */
+    int ended() {
+        return ended.get();
+    }
+
     private static void daemon(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
@@ -84,6 +91,8 @@
             }
         } catch (Exception gone) {
             // The other side went away, which is its right.
+        } finally {
+            ended.incrementAndGet();
         }
     }
 
