The pace keeps near the even part of the rate that answers tell

Cause: reports in answers (x1: calls a second that the limit allows) were not read. Ruled out: slots (4 to 12 of 14), CPU. Mend: Endpoints reads x1, the adapter server_stats; Limit smooths it and keeps nine tenths of the even part as the floor of its pace, less with each refusal in a row. A spoilt figure is dropped or moves it little.

--- a/src/main/java/kestreldeal/Drill.java
+++ b/src/main/java/kestreldeal/Drill.java
@@ -20,6 +20,7 @@
     private final PrintStream out;
     private final PrintStream err;
     private final Map<String, Relay> instances = new HashMap<>();
+    private final Map<String, Integer> toldRateFields = new HashMap<>();
     private final Map<Integer, List<Relay.Endpoint>> lists = new HashMap<>();
     private final StringBuilder reply = new StringBuilder();
     private long lineNumber;
@@ -98,7 +99,9 @@
         switch (name) {
             case "SPAWN": {
                 long seed = f.whole("entropy");
-                Relay.Settings settings = f.pairs().settings();
+                Params params = f.pairs();
+                Relay.Settings settings = params.settings();
+                toldRateFields.put(instance, params.toldRateField());
                 return () -> instances.put(instance, Relay.create(settings, seed, new Wire(instance)));
             }
             case "UPDATE":
@@ -191,10 +194,17 @@
         boolean finished = f.whole("no_more") != 0;
         double note = f.numberOr("hold_ms", 0);
         double wait = outcome == Relay.Outcome.FULL ? note : 0;
-        Relay.AttemptEnd end = new Relay.AttemptEnd(message, attempt, outcome, took, finished, wait);
+        double toldRate = toldRate(instance, f.optional("server_stats"));
+        Relay.AttemptEnd end = new Relay.AttemptEnd(message, attempt, outcome, took, finished, wait, toldRate);
         return () -> relay(instance).attemptEnded(now, end);
     }
 
+    private double toldRate(String instance, Optional<String> report) throws BadInput {
+        String[] figures = report.orElse("").split(",");
+        int field = toldRateFields.getOrDefault(instance, -1);
+        return field < 0 || field >= figures.length || report.isEmpty() ? 0 : Params.parse(figures[field]);
+    }
+
     private static Relay.Outcome outcome(String code) throws BadInput {
         return switch (code) {
             case "success" -> Relay.Outcome.DELIVERED;
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -77,6 +77,15 @@
     private static final double PACE_LEAST_SHARE = 0.2;
     /** The same as a share of the even part of a listed rate, which may be half too high. */
     private static final double LISTED_SHARE = 0.5;
+    /**
+     * The same as a share of an even part of the rate that its answers tell, which is nearly true: less with
+     * each refusal in a row, as others may take more than their part. Guards against a pace that a clump cut
+     * and that takes a slow destination's few deliveries many seconds to grow back, with messages waiting.
+     */
+    private static final double TOLD_SHARE = 0.9;
+    /** Weight of a newly told rate, which counts as at most so many times more or less than those before. */
+    private static final double TOLD_WEIGHT = 0.2;
+    private static final double TOLD_STEP = 2;
     /** Idle for so long, a destination loses pace and counts (the design's figure). */
     private static final double IDLE_MS = 60_000;
 
@@ -558,6 +567,7 @@
         void itemEnded(AttemptEnd end) {
             itemsOut--;
             target.limit.told(end.waitMs());
+            target.limit.says(end.toldRate());
             if (!observed && end.outcome() != Outcome.CANCELLED && end.outcome() != Outcome.NOT_SENT) {
                 observed = true;
                 target.observe(this, end);
@@ -625,6 +635,7 @@
         final Destination destination;
         int pressed;
         double listedRate;
+        double toldRate;
         double rate = Double.POSITIVE_INFINITY;
         double nextAt = Double.NEGATIVE_INFINITY;
         double waitUntil = Double.NEGATIVE_INFINITY;
@@ -652,6 +663,15 @@
             waitUntil = waitMs > 0 ? Math.max(waitUntil, clock + waitMs + CLOCK_MARGIN_MS) : waitUntil;
         }
 
+        /** One answer's figure may be spoilt. */
+        void says(double perSecond) {
+            if (perSecond > 0 && perSecond < Double.POSITIVE_INFINITY) {
+                double said = perSecond / 1000;
+                toldRate = toldRate == 0 ? said : toldRate + TOLD_WEIGHT
+                        * (Math.max(toldRate / TOLD_STEP, Math.min(said, toldRate * TOLD_STEP)) - toldRate);
+            }
+        }
+
         /**
          * Refusals of calls sent before the last cut are old news. Waits of all senders end at one moment:
          * where a pace is slower than the wait it begins at random after it, lest they all come at once.
@@ -679,7 +699,8 @@
 
         private double floor() {
             double own = Math.max(PACE_LEAST_SHARE * destination.demand.perMs(),
-                    LISTED_SHARE * listedRate / settings.senders());
+                    Math.max(LISTED_SHARE * listedRate, TOLD_SHARE * toldRate / Math.max(1, pressed))
+                            / settings.senders());
             return Math.max(1 / (PACE_PAUSE_MS * Math.pow(PACE_PAUSE_GROWTH, pressed)), own);
         }
     }
--- a/src/main/java/kestreldeal/Params.java
+++ b/src/main/java/kestreldeal/Params.java
@@ -9,6 +9,9 @@
  * adapter and the real sender, lest the two read one setting in two ways; unknown ones are never asked for.
  */
 public record Params(Map<String, String> values) {
+    /** The name of the figure in reports that is the rate of a destination's limit. */
+    public static final String TOLD_RATE = "x1";
+
     /** The module's settings. */
     public Relay.Settings settings() throws BadInput {
         List<Relay.MessageClass> classes = new ArrayList<>();
@@ -47,6 +50,11 @@
                 numberOr("rules.order_pause_ms", 0), numberOr("limits.keepalive_ms", 0), cold);
     }
 
+    /** Which of the figures that an answer's report holds is the rate of its limit; -1 where none is. */
+    public int toldRateField() {
+        return list("reporting.fields").indexOf(TOLD_RATE);
+    }
+
     /** The value of a setting that must be there. */
     public String text(String name) throws BadInput {
         String value = values.get(name);
@@ -82,7 +90,8 @@
         return value.isEmpty() || value.equals("-") ? List.of() : List.of(value.split(","));
     }
 
-    private static double parse(String value) throws BadInput {
+    /** A number in the wire's form. */
+    static double parse(String value) throws BadInput {
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -152,10 +152,15 @@
 
     /**
      * The end of one attempt. {@code finished} tells that the message needs no further answer; {@code waitMs}
-     * is the wait that a full destination told, or 0.
+     * is the wait that a full destination told, or 0; {@code toldRate} the calls a second that it says it
+     * takes from all senders together, or 0.
      */
     record AttemptEnd(long message, int attempt, Outcome outcome, double tookMs, boolean finished,
-            double waitMs) {
+            double waitMs, double toldRate) {
+        /** An end that tells no rate. */
+        AttemptEnd(long message, int attempt, Outcome outcome, double tookMs, boolean finished, double waitMs) {
+            this(message, attempt, outcome, tookMs, finished, waitMs, 0);
+        }
     }
 
     /** What worth falls to after the aim: evenly to the last, or by half with each further aim. */
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -36,6 +36,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import kestreldeal.Params;
 import kestreldeal.Relay.Outcome;
 
 /**
@@ -52,12 +53,16 @@
     private static final long ANSWER_MS = 1000;
     /** A connection rests for so long before its next call, lest what comes behind an answer be taken for one. */
     private static final long REST_MS = 10;
+    private static final String TOLD_RATE = Params.TOLD_RATE + "=";
     /** Longest wait that is believed: no message is held for so long. */
     private static final double LONGEST_WAIT_MS = 60_000;
 
-    /** Told of the end of each call; {@code gone}: the message is over, whatever else is true. */
+    /**
+     * Told of the end of each call; {@code gone}: the message is over, whatever else is true; {@code toldRate}:
+     * the calls a second that the destination says it takes, or 0.
+     */
     interface Ends {
-        void ended(Call call, Outcome outcome, boolean gone, double waitMs);
+        void ended(Call call, Outcome outcome, boolean gone, double waitMs, double toldRate);
     }
 
     private final EventLoop loop;
@@ -166,6 +171,7 @@
         /** The last byte is out: from here on it may have run. */
         private boolean flushed;
         private boolean done;
+        private double toldRate;
 
         private Call(Held held, int attempt, Peer peer, double timeoutMs) {
             this.held = held;
@@ -249,7 +255,7 @@
             }
             done = true;
             // Never at once: an end may be found while the module is being called.
-            loop.execute(() -> ends.ended(this, outcome, gone, waitMs));
+            loop.execute(() -> ends.ended(this, outcome, gone, waitMs, toldRate));
         }
 
         /** The first line said 200: that is true whatever follows. */
@@ -286,6 +292,20 @@
         }
     }
 
+    /** The rate in an answer's report, as {@code TEXT x0=0.4, x1=25}; 0 where none can be read. */
+    private static double toldRate(HttpResponse response) {
+        for (String figure : response.headers().get("X-Load-Report", "").split("[,\\s]+")) {
+            if (figure.startsWith(TOLD_RATE)) {
+                try {
+                    return Double.parseDouble(figure.substring(TOLD_RATE.length()));
+                } catch (NumberFormatException e) {
+                    return 0;
+                }
+            }
+        }
+        return 0;
+    }
+
     static String hostPort(InetSocketAddress address) {
         return address.getHostString() + ":" + address.getPort();
     }
@@ -438,6 +458,7 @@
             }
             if (part instanceof HttpResponse response) {
                 head = response;
+                call.toldRate = toldRate(response);
                 if (HttpUtil.getContentLength(response, 0L) > LONGEST_ANSWER) {
                     spoilt();
                     return;
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -236,7 +236,7 @@
             // Unrecorded it could run twice: it is not made.
             Log.line("no attempt without the journal: " + e.getMessage());
             held.attempts.add(attempt);
-            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0));
+            loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0, 0));
             return;
         }
         calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
@@ -290,14 +290,15 @@
 
     // ---- what the module is told ----
 
-    private void attemptEnded(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs) {
+    private void attemptEnded(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
+            double toldRate) {
         calls.remove(new Out(call.held.number, call.attempt));
         double took = (System.nanoTime() - call.startedNanos) / 1e6;
-        attemptEnded(call.held, call.attempt, outcome, gone, waitMs, took);
+        attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
     }
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
-            double took) {
+            double toldRate, double took) {
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
                 over(held);
@@ -312,7 +313,7 @@
         }
         boolean finished = held.over;
         event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(held.number, attempt, outcome, took,
-                finished, waitMs)));
+                finished, waitMs, toldRate)));
     }
 
     private void over(Held held) {
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -37,6 +37,7 @@
     Consumer<Sent> onSend = s -> { };
     boolean strict;
     double listedRate;
+    double toldRate;
     double now;
 
     private final PriorityQueue<Due> due =
@@ -141,7 +142,8 @@
         if (outcome == Outcome.DELIVERED) {
             over.add(message);
         }
-        relay.attemptEnded(now, new Relay.AttemptEnd(message, attempt, outcome, 10, finished, waitMs));
+        relay.attemptEnded(now, new Relay.AttemptEnd(message, attempt, outcome, 10, finished, waitMs,
+                toldRate));
         relay.endTurn(now);
     }
 
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -445,6 +445,33 @@
         assertTrue(sent >= 15, "sent in ten seconds: " + sent);
     }
 
+    /** Found on days in service: a clump cut a slow destination's pace to half its part for ten seconds. */
+    @Test
+    void aToldRateKeepsThePaceNearTheEvenPart() {
+        assertTrue(sentAfterARefusal(16, 16) >= 6, "eight a second each, told: " + sentAfterARefusal(16, 16));
+        for (double spoilt : new double[] {0, Double.NaN, Double.POSITIVE_INFINITY, -16}) {
+            assertEquals(sentAfterARefusal(0, 0), sentAfterARefusal(spoilt, spoilt), "told " + spoilt);
+        }
+        assertTrue(sentAfterARefusal(16, 1e9) <= 10, "one spoilt figure: " + sentAfterARefusal(16, 1e9));
+    }
+
+    /** Sends in the second after a refusal, with none of them answered. */
+    private static int sentAfterARefusal(double told, double last) {
+        Bench b = new Bench(100, 2).list(1, 10);
+        b.toldRate = told;
+        b.take(0, SAFE, 1);
+        b.end(0, 0, Outcome.DELIVERED);
+        b.take(1, SAFE, 1);
+        b.toldRate = last;
+        b.end(1, 0, Outcome.FULL);
+        for (int i = 2; i < 60; i++) {
+            b.take(i, SAFE, 1);
+        }
+        int before = b.sends.size();
+        b.until(1000);
+        return b.sends.size() - before;
+    }
+
     /** Found on menu-delivery-later: at two hundred senders a floor divided among them was a call a minute. */
     @Test
     void aSmallSendersRefusedMessageGoesAgainWithinASecond() {
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -33,6 +33,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<End> ends = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Double> told = new LinkedBlockingQueue<>();
     private Endpoints endpoints;
     private Stub stub;
 
@@ -40,7 +41,10 @@
     void open() throws Exception {
         stub = new Stub(Stub.status(200, ""));
         endpoints = new Endpoints(loop, 1000, 15_000, 4,
-                (call, outcome, gone, waitMs) -> ends.add(new End(outcome, gone, waitMs)));
+                (call, outcome, gone, waitMs, toldRate) -> {
+                    told.add(toldRate);
+                    ends.add(new End(outcome, gone, waitMs));
+                });
         at(stub.address());
     }
 
@@ -258,6 +262,18 @@
         assertEquals(new End(Outcome.FULL, false, 500), end());
     }
 
+    @Test
+    void theRateThatAReportTellsIsReadWhereItCanBe() throws Exception {
+        for (int status : List.of(200, 429)) {
+            for (String report : List.of("TEXT x0=0.4, x1=25", "TEXT x1=25,x0=0", "\u0001\u00ff x1=", "TEXT x1=many",
+                    "TEXT")) {
+                call(Stub.status(status, "X-Load-Report: " + report + "\r\n"));
+                double rate = report.contains("25") ? 25 : 0;
+                assertEquals(rate, told.take(), report);
+            }
+        }
+    }
+
     @Test
     void aToldWaitIsANumberWithinBounds() throws Exception {
         for (String none : List.of("NaN", "-Infinity", "-5", "soon")) {
