Endpoints that have left the list are forgotten, and have no part in a ramp

Mend: an id that is DELETED or absent from a whole list is gone; the module forgets it 30 s later if no call is out and no wait runs, the sender after 60 s; a ramp counts those that serve. A message whose destination has no endpoint just now is not given up for that. Endpoints closes a forgotten one's connections, also of calls still out.

--- a/src/main/java/kestreldeal/Drill.java
+++ b/src/main/java/kestreldeal/Drill.java
@@ -150,7 +150,8 @@
             long destination = row.whole("belongs_to");
             String condition = row.text("condition");
             double rate = row.numberOr("scale", 0);
-            rows.add(new Relay.Endpoint(id, destination, kind, zone, condition.equals("SERVING"), rate));
+            rows.add(new Relay.Endpoint(id, destination, kind, zone, condition.equals("SERVING"), rate,
+                    condition.equals("DELETED")));
         }
         lists.put(list, rows);
     }
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -119,6 +119,9 @@
     /** So many messages of an earlier life for one destination count as a backlog. */
     private static final int LEAST_BACKLOG = 3;
 
+    /** An endpoint that has left the list is forgotten after so long. */
+    private static final double GONE_MS = 30_000;
+
     // Connections.
     /** A connection without use for so long counts as idle. */
     private static final double IDLE_LEAST_MS = 100;
@@ -166,7 +169,7 @@
     public void endpoints(double now, boolean whole, List<Endpoint> entries) {
         tick(now);
         if (whole) {
-            targets.values().forEach(target -> target.serving = false);
+            targets.values().forEach(Target::leave);
         }
         for (Endpoint entry : entries) {
             Destination destination = destination(entry.destination());
@@ -176,9 +179,15 @@
                 targets.put(entry.id(), target);
                 destination.targets.add(target);
             }
-            target.serving = entry.serving();
             target.limit.listedRate = settings.ratesListed() ? entry.listedRate() / 1000 : 0;
+            if (entry.gone()) {
+                target.leave();
+            } else {
+                target.serving = entry.serving();
+                target.goneAt = Double.POSITIVE_INFINITY;
+            }
         }
+        targets.values().removeIf(t -> t.isForgotten() && t.destination.targets.remove(t));
     }
 
     @Override
@@ -341,6 +350,12 @@
 
     /** Whether one more attempt there keeps the promise that no effect happens twice. */
     private boolean mayRepeat(Delivery d, Target target) {
+        return mayRepeat(d) && !(d.type.effect() == Effect.KEYED && d.type.sameZone()
+                && d.attempts.stream().anyMatch(a -> (a.out || a.mayHaveRun) && !a.isInZoneOf(target)));
+    }
+
+    /** The same wherever the attempt may go, as far as time and effect alone tell. */
+    private boolean mayRepeat(Delivery d) {
         for (Attempt earlier : d.attempts) {
             if (!earlier.out && !earlier.mayHaveRun) {
                 continue;
@@ -349,8 +364,7 @@
                 return false;
             }
             if (d.type.effect() == Effect.KEYED
-                    && (clock > earlier.sentAt + d.type.windowMs() - WINDOW_MARGIN_MS
-                    || d.type.sameZone() && !earlier.isInZoneOf(target))) {
+                    && clock > earlier.sentAt + d.type.windowMs() - WINDOW_MARGIN_MS) {
                 return false;
             }
         }
@@ -417,10 +431,11 @@
         }
     }
 
-    /** Whether a further attempt can still be allowed somewhere. */
+    /** Whether a further attempt can still be allowed somewhere, be it at an endpoint that is yet to come. */
     private boolean mayGoOn(Delivery d) {
         return d.attempts.size() < settings.maxAttempts() && clock < d.deadline - ANSWER_MARGIN_MS
-                && d.destination.targets.stream().anyMatch(t -> mayRepeat(d, t));
+                && (d.destination.targets.isEmpty() ? mayRepeat(d)
+                        : d.destination.targets.stream().anyMatch(t -> mayRepeat(d, t)));
     }
 
     /** The final answer of what waits undelivered: refused where trying again is harmless, else failed. */
@@ -611,6 +626,11 @@
             }
         }
 
+        /** Endpoints that share its messages. */
+        long serving() {
+            return Math.max(1, targets.stream().filter(t -> t.serving).count());
+        }
+
         /** When the gates of its endpoints open, as far as time alone opens them. */
         DoubleStream openings() {
             return targets.stream().filter(t -> t.serving)
@@ -757,6 +777,7 @@
         boolean silentOnly;
         double nextAt = Double.NEGATIVE_INFINITY;
         double usedAt = Double.NEGATIVE_INFINITY;
+        double goneAt = Double.POSITIVE_INFINITY;
         int out;
 
         Target(Endpoint entry, Destination destination) {
@@ -769,6 +790,16 @@
             this.fee = charged ? settings.zoneFees().get(entry.zone()) : 0;
         }
 
+        void leave() {
+            serving = false;
+            goneAt = Math.min(goneAt, clock);
+        }
+
+        /** A list may leave one out by mistake: what is known of it stands for as long as it can matter. */
+        boolean isForgotten() {
+            return clock > goneAt + GONE_MS && out == 0 && limit.waitUntil <= clock;
+        }
+
         /**
          * What sending there costs in time: the usual answer with its calls out, the last fruitless ends and
          * the fee. A trial that is due goes first, lest it stay down for ever; unsafe messages avoid it.
@@ -825,7 +856,7 @@
             ColdStart cold = settings.coldStart();
             double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
             double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
-            double asked = destination.demand.perMs() / destination.targets.size() * DEMAND_SHARE;
+            double asked = destination.demand.perMs() / destination.serving() * DEMAND_SHARE;
             double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * Math.max(carried.perMs(), asked);
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
             if (rate == 0) {
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -133,9 +133,15 @@
     }
 
     /**
-     * One entry of the list; the endpoints of a destination are the only ones that its messages may go to.
+     * One entry of the list; the endpoints of a destination are the only ones that its messages may go to. One
+     * that is gone, as is any that a whole list does not name, is forgotten before long.
      */
-    record Endpoint(long id, long destination, int kind, int zone, boolean serving, double listedRate) {
+    record Endpoint(long id, long destination, int kind, int zone, boolean serving, double listedRate,
+            boolean gone) {
+        /** One that is there. */
+        Endpoint(long id, long destination, int kind, int zone, boolean serving, double listedRate) {
+            this(id, destination, kind, zone, serving, listedRate, false);
+        }
     }
 
     /**
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -31,9 +31,9 @@
     /** A watch goes on if its next call comes within 200 ms. */
     private static final long PAUSE_MS = 100;
 
-    /** One entry of the list, by the platform's names. */
+    /** One entry of the list, by the platform's names; one that is gone comes among changes only. */
     record Entry(String id, InetSocketAddress address, String zone, String kind, long destination,
-                 boolean serving, double weight) {
+                 boolean serving, double weight, boolean gone) {
     }
 
     /** Told of each list, or of what changed in it. */
@@ -123,7 +123,8 @@
                 entries.add(new Entry(e.path("instanceId").asText(),
                         Config.address(e.path("hostPort").asText()), e.path("zone").asText(),
                         e.path("machineType").asText(), e.path("cell").asLong(),
-                        e.path("lifecycle").asText().equals("SERVING"), e.path("weight").asDouble()));
+                        e.path("lifecycle").asText().equals("SERVING"), e.path("weight").asDouble(),
+                        e.path("lifecycle").asText().equals("DELETED")));
             } catch (BadInput bad) {
                 Log.line("an entry of the list can't be read: " + bad.getMessage());
             }
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -101,6 +101,20 @@
         peer.address = address;
     }
 
+    /** An endpoint has been gone for long: its connections are closed, those of calls out once they end. */
+    void forget(long endpoint) {
+        closeIdle(endpoint);
+        Peer peer = peers.remove(endpoint);
+        if (peer != null) {
+            peer.address = null;
+        }
+    }
+
+    /** Endpoints that are known. */
+    int known() {
+        return peers.size();
+    }
+
     /** Starts a call; its end is told once, within the time-out or soon after. */
     Call call(Held held, int attempt, long endpoint, double timeoutMs) {
         Call call = new Call(held, attempt, peers.get(endpoint), timeoutMs);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -36,6 +36,8 @@
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
     static final long CLOSING_MS = 3300;
     private static final long DRAIN_POLL_MS = 20;
+    /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
+    private static final long GONE_MS = 60_000;
 
     private final Config config;
     private final long takingMs;
@@ -46,6 +48,9 @@
     private final long startNanos = System.nanoTime();
     private final Map<String, Long> endpointNumbers = new HashMap<>();
     private final Map<Long, String> endpointIds = new HashMap<>();
+    private long nextEndpoint;
+    /** Endpoints that have left the list, and when. */
+    private final Map<String, Long> goneSince = new HashMap<>();
     /** What is held and not over, by the module's number, and by the client's id. */
     private final Map<Long, Held> open = new HashMap<>();
     private final Map<String, Held> byId = new HashMap<>();
@@ -338,8 +343,9 @@
             destinations.add(e.destination());
             endpoints.at(number, e.address(), e.serving());
             list.add(new Relay.Endpoint(number, e.destination(), Math.max(0, config.kinds().indexOf(e.kind())),
-                    Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight()));
+                    Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight(), e.gone()));
         }
+        forgetGone(whole, entries);
         event(() -> relay.endpoints(openTurn(), whole, list));
         if (!ready) {
             ready = true;
@@ -347,10 +353,36 @@
         }
     }
 
+    /** Later than the module does, lest it name one that is no longer known here. */
+    private void forgetGone(boolean whole, List<Discovery.Entry> entries) {
+        long now = System.nanoTime();
+        if (whole) {
+            endpointNumbers.keySet().forEach(id -> goneSince.putIfAbsent(id, now));
+        }
+        for (Discovery.Entry e : entries) {
+            if (e.gone()) {
+                goneSince.putIfAbsent(e.id(), now);
+            } else {
+                goneSince.remove(e.id());
+            }
+        }
+        goneSince.entrySet().removeIf(gone -> {
+            boolean old = now - gone.getValue() > TimeUnit.MILLISECONDS.toNanos(GONE_MS);
+            if (old) {
+                long number = endpointNumbers.remove(gone.getKey());
+                endpointIds.remove(number);
+                endpoints.forget(number);
+            }
+            return old;
+        });
+    }
+
     private long endpointNumber(String id) {
         return endpointNumbers.computeIfAbsent(id, unknown -> {
-            long number = endpointNumbers.size();
+            long number = nextEndpoint++;
             endpointIds.put(number, id);
+            // Until a list names it: an earlier life may have known it.
+            goneSince.put(id, System.nanoTime());
             return number;
         });
     }
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -86,6 +86,11 @@
         return this;
     }
 
+    void gone(long id, long destination) {
+        relay.endpoints(now, false, List.of(new Relay.Endpoint(id, destination, 0, 0, false, listedRate, true)));
+        relay.endTurn(now);
+    }
+
     void take(long id, int type, long destination) {
         take(id, type, destination, "key " + id);
     }
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -293,6 +293,27 @@
         assertTrue(stub.requests.isEmpty());
     }
 
+    @Test
+    void anEndpointThatIsForgottenLeavesNothingBehind() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        awaitKept();
+        stub.script((request, socket) -> {
+            go.await();
+            Stub.status(200, "").come(request, socket);
+        });
+        start(new byte[1], LONG_MS);
+        start(new byte[1], LONG_MS);
+        Stub.await("the calls are out", () -> stub.requests.size() == 3);
+        loop.submit(() -> endpoints.forget(1)).syncUninterruptibly();
+        go.countDown();
+        assertEquals(new End(Outcome.DELIVERED, false, 0), end(), "a call that is out still ends");
+        assertEquals(new End(Outcome.DELIVERED, false, 0), end());
+        Stub.await("its connections are closed", () -> stub.ended() == 2);
+        assertEquals(0, kept());
+        assertEquals(0, loop.submit(() -> endpoints.known()).get());
+    }
+
     @Test
     void aConnectionToTheOldAddressOfAMovedEndpointIsNotUsedAgain() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
