A lost connection is no outage; calls without an answer give up their slots to what waits

Ruled out: stale connections (fresh ones hang too), a leak of slots (they return at each time-out), CPU, pace (gates open for seconds). Also, one reset connection put an endpoint that had answered a moment before through a ramp of 12 s ('refuses connections', 'answers again' 30 ms later). Mend, in the module: a message that lacks only a slot has the call called off that is furthest over its endpoint's patience, if it may be repeated; patience grows with each such loss. An endpoint whose connection failed, and that delivers within 2.5 s of its last delivery, was not out. Tests: slots under silence, one lost connection; both fail before.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -56,6 +56,9 @@
     /** Answer time assumed of an endpoint that has not answered yet. */
     private static final double FIRST_LATENCY_MS = 250;
 
+    /** No call is called off for another's sake before it has been out for so long. */
+    private static final double CALL_OFF_LEAST_MS = 200;
+
     // Pace.
     /** A pace is cut to this share: at first of the last second's sends. */
     private static final double PACE_CUT = 0.7;
@@ -146,6 +149,7 @@
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
     private final Set<Delivery> queue = new LinkedHashSet<>();
+    private final Set<Attempt> out = new LinkedHashSet<>();
     private final Deque<Double> firstSends = new ArrayDeque<>();
     private final Throttle copies = new Throttle(COPY_BASE, COPY_SHARE);
     private final Throttle retries = new Throttle(RETRY_BASE, RETRY_SHARE);
@@ -202,7 +206,7 @@
         tick(now);
         Delivery d = take(message);
         for (EarlierAttempt earlier : attempts) {
-            d.attempts.add(new Attempt(Optional.ofNullable(targets.get(earlier.endpoint())), earlier));
+            d.attempts.add(new Attempt(d, Optional.ofNullable(targets.get(earlier.endpoint())), earlier));
         }
         keys.resumed(d);
         if (!attempts.isEmpty()) {
@@ -247,6 +251,7 @@
             return;
         }
         attempt.out = false;
+        out.remove(attempt);
         attempt.mayHaveRun = end.outcome().mayHaveRun();
         d.refused = end.outcome() == Outcome.FULL;
         d.out--;
@@ -317,7 +322,42 @@
         }
         ranked.sort(Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt));
         for (Delivery d : ranked) {
-            choose(d, false).ifPresent(target -> send(d, target, false));
+            Optional<Target> target = choose(d, false);
+            if (target.isPresent()) {
+                send(d, target.get(), false);
+            } else if (lacksSlot(d)) {
+                freeSlot();
+            }
+        }
+    }
+
+    /** Whether nothing but a slot keeps it from being sent. */
+    private boolean lacksSlot(Delivery d) {
+        return slotsUsed >= settings.slots() - 1 && !d.destination.hasSlot()
+                && d.destination.targets.stream().anyMatch(t -> allows(d, t) && t.isOpen());
+    }
+
+    /**
+     * Calls off the call that has been out longest by the measure of its endpoint, if it is out of patience
+     * and may be repeated. Guards against calls that get no answer anywhere: a few in a hundred of them hold
+     * all slots till their time-outs, and what has run out of time meanwhile can't be repeated any more. An
+     * endpoint that is merely slow is given more patience with each call that it has lost in this way.
+     */
+    private void freeSlot() {
+        if (!settings.cancels()) {
+            return;
+        }
+        Attempt most = null;
+        for (Attempt a : out) {
+            boolean mayBe = !a.calledOff && a.delivery.type.effect() != Effect.UNSAFE && a.overPatience() > 1;
+            if (mayBe && (most == null || a.overPatience() > most.overPatience())) {
+                most = a;
+            }
+        }
+        if (most != null) {
+            most.calledOff = true;
+            most.target.get().calledOff++;
+            actions.cancel(most.delivery.message.id(), most.delivery.attempts.indexOf(most));
         }
     }
 
@@ -336,6 +376,12 @@
 
     /** The gate that every send passes: first send, copy and new wave. */
     private boolean maySend(Delivery d, Target target) {
+        return allows(d, target) && (target.mayJoin()
+                || target.destination.hasSlot() && target.isOpen());
+    }
+
+    /** The gates that hold for any send of the message there, whether it takes a slot or joins a call. */
+    private boolean allows(Delivery d, Target target) {
         return !d.ended && target.serving
                 && clock < d.deadline - ANSWER_MARGIN_MS
                 && d.attempts.size() < settings.maxAttempts()
@@ -343,9 +389,7 @@
                 && keys.mayGo(d)
                 && (!d.refused || d.out > 0 || retries.allows())
                 && target.limit.waitUntil <= clock
-                && clock + target.expectedEnd(d.type) <= closesAt
-                && (target.mayJoin() || slotsUsed < settings.slots() && target.destination.hasSlot()
-                        && target.limit.nextAt <= clock && target.opensAt() <= clock);
+                && clock + target.expectedEnd(d.type) <= closesAt;
     }
 
     /** Whether one more attempt there keeps the promise that no effect happens twice. */
@@ -373,8 +417,9 @@
 
     private void send(Delivery d, Target target, boolean copy) {
         Call call = target.joinOrStart();
-        Attempt attempt = new Attempt(call);
+        Attempt attempt = new Attempt(d, call);
         d.attempts.add(attempt);
+        out.add(attempt);
         d.out++;
         queue.remove(d);
         keys.attemptSent(d);
@@ -533,27 +578,37 @@
      * One attempt of a message; those of an earlier life have no call and hold nothing, and their endpoint
      * may have left the list since.
      */
-    private static final class Attempt {
+    private final class Attempt {
+        final Delivery delivery;
         final Optional<Call> call;
         final Optional<Target> target;
         final double sentAt;
         boolean out;
         boolean mayHaveRun;
+        boolean calledOff;
 
-        Attempt(Call call) {
+        Attempt(Delivery delivery, Call call) {
+            this.delivery = delivery;
             this.call = Optional.of(call);
             this.target = Optional.of(call.target);
             this.sentAt = call.sentAt;
             this.out = true;
         }
 
-        Attempt(Optional<Target> target, EarlierAttempt earlier) {
+        Attempt(Delivery delivery, Optional<Target> target, EarlierAttempt earlier) {
+            this.delivery = delivery;
             this.call = Optional.empty();
             this.target = target;
             this.sentAt = earlier.sentAt();
             this.mayHaveRun = earlier.mayHaveRun();
         }
 
+        /** How long it has been out, by its endpoint's patience, which grows with calls called off before. */
+        double overPatience() {
+            return target.map(t -> (clock - sentAt)
+                    / (Math.max(t.patience(), CALL_OFF_LEAST_MS) * (1 + t.calledOff))).orElse(0.0);
+        }
+
         boolean isInZoneOf(Target other) {
             return target.filter(t -> t.entry.zone() == other.entry.zone()).isPresent();
         }
@@ -644,7 +699,7 @@
 
         /** Fewer slots than stay free, lest a slow or silent one holds them all. */
         boolean hasSlot() {
-            return out < Math.max(1, settings.slots() - slotsUsed - 1);
+            return slotsUsed < settings.slots() && out < Math.max(1, settings.slots() - slotsUsed - 1);
         }
     }
 
@@ -768,6 +823,7 @@
         double deviation = FIRST_LATENCY_MS / 2;
         double bad;
         int silentCalls;
+        int calledOff;
         int fruitless;
         double fruitlessSince;
         double lastGood = Double.NEGATIVE_INFINITY;
@@ -775,6 +831,8 @@
         double warmSince;
         double downAt;
         boolean silentOnly;
+        /** Since it is down it has failed or refused calls, not only connections. */
+        boolean failing;
         double nextAt = Double.NEGATIVE_INFINITY;
         double usedAt = Double.NEGATIVE_INFINITY;
         double goneAt = Double.POSITIVE_INFINITY;
@@ -827,6 +885,11 @@
             return latest;
         }
 
+        /** Whether pace and health let the next call go. */
+        boolean isOpen() {
+            return limit.nextAt <= clock && opensAt() <= clock;
+        }
+
         /** When its health lets the next call go. */
         double opensAt() {
             return state == State.DOWN && out > 0 ? Double.POSITIVE_INFINITY : nextAt;
@@ -883,9 +946,12 @@
         }
 
         private void good(Call call, AttemptEnd end) {
+            // No outage that would leave it cold fits between deliveries so close together.
+            boolean blip = !failing && clock - lastGood < SHUT_MS;
             connections.held(call);
             bad *= GOOD_FACTOR;
             silentCalls = 0;
+            calledOff = 0;
             fruitless = 0;
             lastGood = clock;
             deviation += LATENCY_WEIGHT * (Math.abs(end.tookMs() - latency) - deviation);
@@ -894,6 +960,8 @@
                 carried.count();
             } else if (state == State.DOWN && silentOnly && call.sentAt < downAt) {
                 up("was slow, not silent");
+            } else if (state == State.DOWN && blip) {
+                up("was not out");
             } else if (state == State.DOWN) {
                 state = State.WARMING;
                 warmSince = clock;
@@ -908,6 +976,7 @@
             limit.refused(call);
             if (noneGood() || waitMs >= SHUT_MS) {
                 down("is shut");
+                failing = true;
             }
         }
 
@@ -923,6 +992,7 @@
             if (noneGood() || bad >= DOWN_AT) {
                 down(symptom);
             }
+            failing = state == State.DOWN && (failing || weight == BAD_WEIGHT);
         }
 
         void overdue(Call call) {
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -472,6 +472,50 @@
         return b.sends.size() - before;
     }
 
+    /** Found on the long day: calls that got no answer held all slots until their time-outs. */
+    @Test
+    void callsWithoutAnswerGiveUpTheirSlotsToWhatWaits() {
+        for (int type : List.of(SAFE, UNSAFE)) {
+            Bench b = new Bench(4, 2);
+            b.strict = true;
+            for (int d = 1; d <= 5; d++) {
+                b.list(d, 10 * d);
+            }
+            b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 20);
+            for (int i = 0; i < 100; i++) {
+                b.take(i, SAFE, 1 + i % 5);
+                b.until(b.now + 25);
+            }
+            b.onSend = s -> {
+                if (s.endpoint() == 50) {
+                    b.endLater(s, Outcome.DELIVERED, 20);
+                }
+            };
+            for (int i = 100; i < 104; i++) {
+                b.take(i, type, i - 99);
+            }
+            double start = b.now;
+            b.until(start + 250);
+            b.takeEvery(20, SAFE, 5, start + 900);
+            long sent = b.sends.stream().filter(s -> s.at() > start && s.endpoint() == 50).count();
+            assertEquals(type == SAFE, sent > 10, "sent to the one that answers: " + sent);
+        }
+    }
+
+    /** Found on the long day: one reset connection put an endpoint through a ramp of twelve seconds. */
+    @Test
+    void oneLostConnectionIsNoOutage() {
+        for (Outcome lost : List.of(Outcome.UNREACHABLE, Outcome.ERROR)) {
+            Bench b = new Bench(100, 2).list(1, 10);
+            b.onSend = s -> b.endLater(s, s.at() > 4000 && s.at() < 4100 ? lost : Outcome.DELIVERED, 20);
+            b.takeEvery(10, SAFE, 1, 5000);
+            int before = b.sends.size();
+            b.takeEvery(10, SAFE, 1, 6000);
+            int sent = b.sends.size() - before;
+            assertEquals(lost == Outcome.UNREACHABLE, sent > 80, lost + ": sent in a second: " + sent);
+        }
+    }
+
     /** Found on the long day: each endpoint that had gone took its part of what a returning one was sent. */
     @Test
     void endpointsThatAreGoneHaveNoPartInARamp() {
