A turn ranks only what can be sent, so that a jam does not take the CPU too

Each turn ranked and sorted all that waits (up to 658 messages, two powers each), looked at every endpoint for each, and walked the queue again for the next opening. Mend: a destination's gates are looked at once a turn; only messages behind open gates are ranked, none when no slot is free; the next opening is taken from destinations that are waited for.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -139,12 +139,16 @@
     private static final double RANK_WORTH = 0.01;
     /** Time worth a fee of one point: about what a message loses in worth when it waits so long. */
     private static final double FEE_MS = 25_000;
+    private static final Comparator<Delivery> PRESSING_FIRST =
+            Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt);
     /** Time before the deadline at which a message that is not out is answered. */
     private static final double ANSWER_MARGIN_MS = 5;
 
     private final Settings settings;
     private final Actions actions;
     private final Random random;
+    /** Some calls carry several messages, so that a message can go without a free slot. */
+    private final boolean joins;
     private final Map<Long, Target> targets = new LinkedHashMap<>();
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
@@ -165,6 +169,7 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new Random(seed);
+        this.joins = settings.kinds().stream().anyMatch(kind -> kind.batch() > 1);
     }
 
     // ---- events ----
@@ -287,8 +292,8 @@
         tick(now);
         timers.run(now);
         dispatch();
-        turn++;
         timers.ask(now, nextOpening());
+        turn++;
     }
 
     private Destination destination(long id) {
@@ -311,30 +316,39 @@
 
     // ---- decisions ----
 
-    /** Sends what waits, the most pressing first, as far as gates and slots allow. */
+    /**
+     * Sends what waits, the most pressing first, as far as gates and slots allow. Every turn looks at all
+     * that waits, so it ranks only what its destination's gates let pass: a jam must not take the CPU too.
+     */
     private void dispatch() {
         List<Delivery> ranked = new ArrayList<>();
         for (Delivery d : queue) {
-            if (d.notBefore <= clock) {
-                d.rank = d.rank();
+            if (d.destination.seenTurn != turn) {
+                d.destination.seenTurn = turn;
+                d.destination.openInTurn = d.destination.isOpen();
+            }
+            if (d.destination.openInTurn && d.notBefore <= clock) {
                 ranked.add(d);
             }
         }
-        ranked.sort(Comparator.comparingDouble((Delivery d) -> -d.rank).thenComparingDouble(d -> d.aimAt));
-        for (Delivery d : ranked) {
-            Optional<Target> target = choose(d, false);
-            if (target.isPresent()) {
-                send(d, target.get(), false);
-            } else if (lacksSlot(d)) {
-                freeSlot();
+        if (slotsUsed < settings.slots() || joins) {
+            ranked.forEach(d -> d.rank = d.rank());
+            ranked.sort(PRESSING_FIRST);
+            for (Delivery d : ranked) {
+                if (d.destination.isOpen()) {
+                    choose(d, false).ifPresent(target -> send(d, target, false));
+                }
             }
         }
+        if (slotsUsed >= settings.slots() - 1 && ranked.stream().anyMatch(this::lacksSlot)) {
+            freeSlot();
+        }
     }
 
     /** Whether nothing but a slot keeps it from being sent. */
     private boolean lacksSlot(Delivery d) {
-        return slotsUsed >= settings.slots() - 1 && !d.destination.hasSlot()
-                && d.destination.targets.stream().anyMatch(t -> allows(d, t) && t.isOpen());
+        return d.out == 0 && !d.destination.hasSlot()
+                && d.destination.targets.stream().anyMatch(t -> t.isOpen() && allows(d, t));
     }
 
     /**
@@ -522,9 +536,13 @@
 
     /** When the next gate opens by time alone for a message that waits. */
     private double nextOpening() {
-        return queue.stream().map(d -> d.destination).distinct()
-                .flatMapToDouble(destination -> destination.openings().filter(at -> at > clock)).min()
-                .orElse(Double.POSITIVE_INFINITY);
+        double next = Double.POSITIVE_INFINITY;
+        for (Destination destination : destinations.values()) {
+            if (destination.seenTurn == turn) {
+                next = Math.min(next, destination.openings().filter(at -> at > clock).min().orElse(next));
+            }
+        }
+        return next;
     }
 
     // ---- parts ----
@@ -665,6 +683,9 @@
         final Rate demand = new Rate();
         int out;
         int backlog;
+        /** The last turn in which a message waited for it, and whether its gates let calls pass then. */
+        long seenTurn = -1;
+        boolean openInTurn;
         boolean troubled;
 
         /**
@@ -686,6 +707,16 @@
             return Math.max(1, targets.stream().filter(t -> t.serving).count());
         }
 
+        /** Whether the pace, waits and health of any of its endpoints let a call pass. */
+        boolean isOpen() {
+            for (Target t : targets) {
+                if (t.serving && (t.mayJoin() || t.limit.waitUntil <= clock && t.isOpen())) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** When the gates of its endpoints open, as far as time alone opens them. */
         DoubleStream openings() {
             return targets.stream().filter(t -> t.serving)
