--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -31,6 +31,11 @@
     private static final double CLIENT_SHARE = 0.5;
     /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
     private static final int ENDED_KNOWN = 4096;
+    /**
+     * A request may stand unread for some time where the CPU is scarce, as long as its client waits for the
+     * answer; its budget runs from when it was sent. So a message is ended so much before its time is up.
+     */
+    private static final long UNREAD_MS = 250;
     /** From SIGTERM: new connections come for so long at most. */
     static final long TAKING_MS = 450;
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
@@ -432,8 +437,10 @@
             }
             double mostMs = config.settings().classes().get(config.classes().indexOf(s.messageClass()))
                     .deadlineMs();
+            long leftMs = (long) Math.min(s.budgetMs(), mostMs);
+            leftMs -= Math.min(UNREAD_MS, leftMs / 2);
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
-                    s.destination(), System.currentTimeMillis() + (long) Math.min(s.budgetMs(), mostMs), s.body());
+                    s.destination(), System.currentTimeMillis() + leftMs, s.body());
             try {
                 journal.taken(held);
             } catch (IOException e) {
