--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -58,8 +58,8 @@
     private static final int LONGEST_ID = 256;
     /** From connecting, or from a later request's first byte, until the request is whole. */
     private static final long REQUEST_MS = 2000;
-    /** A connection between requests is kept for so long. */
-    private static final long IDLE_MS = 10_000;
+    /** A connection between requests is kept for so long, lest those that ask once keep the others out. */
+    private static final long IDLE_MS = 2500;
     /** From the answer to what is too long until the close: closing at once could reset it unread. */
     private static final long LINGER_MS = 500;
     private static final long SWEEP_MS = 200;
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -554,6 +554,9 @@
                 + whole.substring(0, 30)).line());
         Socket endless = client();
         Stub.write(endless, "GET /healthz HTTP/1.1\r\n" + "X-More: more\r\n".repeat(2000));
+        Socket once = client();
+        assertEquals("HTTP/1.1 200 OK", ask(once, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").line());
+        assertEquals("", untilClosed(once), "what asks once does not stay for good");
         assertEquals("", untilClosed(silent));
         assertTrue(untilClosed(half).startsWith("HTTP/1.1 408 "));
         assertTrue(untilClosed(later).startsWith("HTTP/1.1 408 "));
