--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -119,9 +119,6 @@
     private static final double DEMAND_SHARE = 0.7;
     private static final double CARRIED_LEAST_MS = 2000;
 
-    /** So many messages of an earlier life for one destination count as a backlog. */
-    private static final int LEAST_BACKLOG = 3;
-
     /** An endpoint that has left the list is forgotten after so long. */
     private static final double GONE_MS = 30_000;
 
@@ -151,6 +148,8 @@
     private final boolean joins;
     private final Map<Long, Target> targets = new LinkedHashMap<>();
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
+    /** What an earlier life knew of endpoints that no list has named in this one. */
+    private final Map<Long, Health> recalled = new LinkedHashMap<>();
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
     private final Set<Delivery> queue = new LinkedHashSet<>();
     private final Set<Attempt> out = new LinkedHashSet<>();
@@ -187,6 +186,7 @@
                 target = new Target(entry, destination);
                 targets.put(entry.id(), target);
                 destination.targets.add(target);
+                Optional.ofNullable(recalled.remove(entry.id())).ifPresent(target::recall);
             }
             target.limit.listedRate = settings.ratesListed() ? entry.listedRate() / 1000 : 0;
             if (entry.gone()) {
@@ -217,8 +217,16 @@
         if (!attempts.isEmpty()) {
             giveUpInTime(d);
         }
-        if (!d.ended) {
-            d.destination.resumed(d);
+    }
+
+    @Override
+    public void recalled(double now, long endpoint, Health health) {
+        tick(now);
+        Target target = targets.get(endpoint);
+        if (target == null) {
+            recalled.put(endpoint, health);
+        } else {
+            target.recall(health);
         }
     }
 
@@ -347,8 +355,8 @@
 
     /** Whether nothing but a slot keeps it from being sent. */
     private boolean lacksSlot(Delivery d) {
-        return d.out == 0 && !d.destination.hasSlot()
-                && d.destination.targets.stream().anyMatch(t -> t.isOpen() && allows(d, t));
+        return d.out == 0 && d.destination.targets.stream()
+                .anyMatch(t -> !t.hasSlot() && t.isOpen() && allows(d, t));
     }
 
     /**
@@ -391,7 +399,7 @@
     /** The gate that every send passes: first send, copy and new wave. */
     private boolean maySend(Delivery d, Target target) {
         return allows(d, target) && (target.mayJoin()
-                || target.destination.hasSlot() && target.isOpen());
+                || target.hasSlot() && target.isOpen());
     }
 
     /** The gates that hold for any send of the message there, whether it takes a slot or joins a call. */
@@ -648,7 +656,7 @@
             this.idledMs = connections.take(target);
             target.usedAt = clock;
             slotsUsed++;
-            target.out++;
+            target.calls.add(this);
             target.destination.out++;
         }
 
@@ -663,7 +671,7 @@
             target.usedAt = clock;
             if (itemsOut == 0) {
                 slotsUsed--;
-                target.out--;
+                target.calls.remove(this);
                 target.destination.out--;
             }
         }
@@ -682,25 +690,9 @@
         final Limit shared = new Limit(this);
         final Rate demand = new Rate();
         int out;
-        int backlog;
         /** The last turn in which a message waited for it, and whether its gates let calls pass then. */
         long seenTurn = -1;
         boolean openInTurn;
-        boolean troubled;
-
-        /**
-         * A backlog from an earlier life that had trouble here: attempts that were refused or repeated, or
-         * messages late with none. Guards against a restart in an outage, which would send it all at once to
-         * what may just be coming back cold; so trials come first. A few messages can't push it over.
-         */
-        void resumed(Delivery d) {
-            backlog++;
-            troubled |= d.attempts.isEmpty() ? clock > d.aimAt
-                    : d.attempts.size() > 1 || d.attempts.stream().noneMatch(a -> a.mayHaveRun);
-            if (troubled && backlog >= LEAST_BACKLOG) {
-                targets.forEach(target -> target.down("had trouble before the restart"));
-            }
-        }
 
         /** Endpoints that share its messages. */
         long serving() {
@@ -727,11 +719,6 @@
         double opensAt() {
             return openings().min().orElse(clock);
         }
-
-        /** Fewer slots than stay free, lest a slow or silent one holds them all. */
-        boolean hasSlot() {
-            return slotsUsed < settings.slots() && out < Math.max(1, settings.slots() - slotsUsed - 1);
-        }
     }
 
     /** The pace and told wait of what shares one limit. Guards against refusals and broken waits. */
@@ -834,8 +821,6 @@
         }
     }
 
-    private enum State { UP, DOWN, WARMING }
-
     /**
      * An endpoint and its health. Guards against dead, silent, failing and shut endpoints alike: when down,
      * single trials replace the backlog; when it answers again, a ramp keeps within what a cold endpoint can
@@ -850,6 +835,8 @@
         boolean serving;
         State state = State.UP;
         Call latest;
+        /** Its calls that are out, in the order sent. */
+        final Deque<Call> calls = new ArrayDeque<>();
         double latency = FIRST_LATENCY_MS;
         double deviation = FIRST_LATENCY_MS / 2;
         double bad;
@@ -859,6 +846,8 @@
         double fruitlessSince;
         double lastGood = Double.NEGATIVE_INFINITY;
         final Rate carried = new Rate();
+        /** The same before an outage that an earlier life saw. */
+        double carriedBefore;
         double warmSince;
         double downAt;
         boolean silentOnly;
@@ -867,7 +856,6 @@
         double nextAt = Double.NEGATIVE_INFINITY;
         double usedAt = Double.NEGATIVE_INFINITY;
         double goneAt = Double.POSITIVE_INFINITY;
-        int out;
 
         Target(Endpoint entry, Destination destination) {
             Kind kind = settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
@@ -886,7 +874,7 @@
 
         /** A list may leave one out by mistake: what is known of it stands for as long as it can matter. */
         boolean isForgotten() {
-            return clock > goneAt + GONE_MS && out == 0 && limit.waitUntil <= clock;
+            return clock > goneAt + GONE_MS && calls.isEmpty() && limit.waitUntil <= clock;
         }
 
         /**
@@ -898,7 +886,7 @@
                 return (d.type.effect() == Effect.UNSAFE ? 1 : -1) * Double.POSITIVE_INFINITY;
             }
             double freeShare = 1 - (double) slotsUsed / settings.slots();
-            return latency * (1 + out) + fruitless * SHUT_MS + fee * FEE_MS * freeShare;
+            return latency * (1 + calls.size()) + fruitless * SHUT_MS + fee * FEE_MS * freeShare;
         }
 
         boolean mayJoin() {
@@ -916,6 +904,12 @@
             return latest;
         }
 
+        /** Fewer slots than stay free, lest a slow or silent one holds them all. */
+        boolean hasSlot() {
+            int free = settings.slots() - slotsUsed;
+            return free > 0 && destination.out < Math.max(1, free - 1);
+        }
+
         /** Whether pace and health let the next call go. */
         boolean isOpen() {
             return limit.nextAt <= clock && opensAt() <= clock;
@@ -923,7 +917,7 @@
 
         /** When its health lets the next call go. */
         double opensAt() {
-            return state == State.DOWN && out > 0 ? Double.POSITIVE_INFINITY : nextAt;
+            return state == State.DOWN && !calls.isEmpty() ? Double.POSITIVE_INFINITY : nextAt;
         }
 
         /** How long a usual answer may take here. */
@@ -951,7 +945,8 @@
             double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
             double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
             double asked = destination.demand.perMs() / destination.serving() * DEMAND_SHARE;
-            double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * Math.max(carried.perMs(), asked);
+            double known = Math.max(Math.max(carried.perMs(), carriedBefore), asked);
+            double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * known;
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
             if (rate == 0) {
                 // Only messages of an earlier life are known here: the pace of trials, until more is seen.
@@ -999,6 +994,7 @@
                 latency = end.tookMs();
                 nextAt = clock + 1 / allowedRate();
                 actions.log("endpoint " + entry.id() + " answers again, warming");
+                remember();
             }
             limit.delivered();
         }
@@ -1040,6 +1036,7 @@
             nextAt = clock;
             carried.resume();
             actions.log("endpoint " + entry.id() + " " + symptom);
+            remember();
         }
 
         private void down(String symptom) {
@@ -1049,6 +1046,28 @@
                 downAt = clock;
                 nextAt = Math.max(clock, limit.waitUntil) + random.nextDouble() / allowedRate();
                 actions.log("endpoint " + entry.id() + " " + symptom + ", trials only");
+                remember();
+            }
+        }
+
+        private void remember() {
+            actions.remember(entry.id(), new Health(state, clock, Math.max(carried.perMs(), carriedBefore)));
+        }
+
+        /**
+         * Goes on where an earlier life ended. Guards against a restart in an outage, which would send all
+         * that is held at once to what may just be coming back cold; and against trials and a ramp, for the
+         * same backlog, at what was never out. It may hurt where an outage began unseen just before the end.
+         */
+        void recall(Health health) {
+            state = health.state();
+            carriedBefore = health.carriedPerMs();
+            if (state == State.WARMING) {
+                warmSince = health.since();
+            }
+            if (state != State.UP) {
+                nextAt = clock + random.nextDouble() / allowedRate();
+                actions.log("endpoint " + entry.id() + " was " + state + " before the restart");
             }
         }
     }
@@ -1066,7 +1085,7 @@
 
         /** How long the connection that a call now takes has idled: 0 for one in use, or a new one. */
         double take(Target target) {
-            double idle = target.out > 0 ? 0 : clock - target.usedAt;
+            double idle = !target.calls.isEmpty() ? 0 : clock - target.usedAt;
             if (clock > lostAt + TRUST_MEMORY_MS) {
                 suspect = Optional.empty();
                 sure = false;
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -42,6 +42,12 @@
      */
     void resumed(double now, Message message, List<EarlierAttempt> attempts);
 
+    /**
+     * The health of an endpoint as it was last told by {@link Actions#remember} in an earlier life, with its
+     * time on this life's clock; told before the messages of that life, be the endpoint listed yet or not.
+     */
+    void recalled(double now, long endpoint, Health health);
+
     /**
      * The sender will stop at this time: no call starts any more that can't be expected to end before it.
      */
@@ -87,6 +93,13 @@
         /** Call {@link Relay#wake} in a turn at or soon after this time. */
         void wakeAt(double time);
 
+        /**
+         * An endpoint's health has changed: a later life needs to know, if there can be one. Without a
+         * journal there is none.
+         */
+        default void remember(long endpoint, Health health) {
+        }
+
         /** A line for the people on call. */
         void log(String text);
     }
@@ -156,6 +169,20 @@
     record EarlierAttempt(long endpoint, double sentAt, boolean mayHaveRun) {
     }
 
+    /** What an endpoint is held to be. */
+    enum State {
+        /** In service. */
+        UP,
+        /** In an outage: it gets trials only. */
+        DOWN,
+        /** Back from an outage, and cold. */
+        WARMING
+    }
+
+    /** An endpoint's state, since when, and the rate that it carried for this sender before an outage. */
+    record Health(State state, double since, double carriedPerMs) {
+    }
+
     /**
      * The end of one attempt. {@code finished} tells that the message needs no further answer; {@code waitMs}
      * is the wait that a full destination told, or 0; {@code toldRate} the calls a second that it says it
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.zip.CRC32;
+import kestreldeal.Relay;
 
 /**
  * What this sender has taken on, in a file that outlasts its process. Records are appended, each with its
@@ -34,6 +35,7 @@
     private static final int NEVER_RAN = 3;
     private static final int OWED = 4;
     private static final int ENDED = 5;
+    private static final int HEALTH = 6;
     /** Length and checksum. */
     private static final int HEAD = 12;
     /** Longest record that is believed: a longer one is a torn or foreign length. */
@@ -49,6 +51,8 @@
     private final long bound;
     private final long messageRoom;
     private final Map<Long, Held> live = new TreeMap<>();
+    /** What the module last knew of endpoints that are not in service. */
+    private final Map<String, Health> health = new TreeMap<>();
     private FileChannel channel;
     private long size;
     private long liveBytes;
@@ -118,6 +122,30 @@
         }
     }
 
+    /** An endpoint's state, since when on the wall clock, and the rate that it carried before. */
+    record Health(Relay.State state, long sinceMs, double carriedPerMs) {
+    }
+
+    /** What is known of an endpoint has changed; one that is in service, or forgotten, takes up no room. */
+    void health(String endpoint, Health now) throws IOException {
+        byte[] record = record(healthRecord(endpoint, now));
+        write(record);
+        keep(endpoint, now, record.length);
+    }
+
+    /** What was known when the last process ended, of endpoints that were not in service. */
+    Map<String, Health> health() {
+        return new TreeMap<>(health);
+    }
+
+    private void keep(String endpoint, Health now, int bytes) {
+        boolean before = health.remove(endpoint) != null;
+        if (now.state() != Relay.State.UP) {
+            health.put(endpoint, now);
+        }
+        liveBytes += (health.containsKey(endpoint) ? bytes : 0) - (before ? bytes : 0);
+    }
+
     /** Bytes of the file now. */
     long size() {
         return size;
@@ -202,6 +230,17 @@
         };
     }
 
+    private static Body healthRecord(String endpoint, Health health) {
+        return out -> {
+            out.writeByte(HEALTH);
+            // Where the other records have a message's number.
+            out.writeLong(health.sinceMs());
+            out.writeUTF(endpoint);
+            out.writeByte(health.state().ordinal());
+            out.writeDouble(health.carriedPerMs());
+        };
+    }
+
     private void append(Held held, byte[] record) throws IOException {
         write(record);
         held.bytes += record.length;
@@ -235,6 +274,9 @@
 
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) liveBytes);
+        for (Map.Entry<String, Health> known : health.entrySet()) {
+            bytes.write(record(healthRecord(known.getKey(), known.getValue())));
+        }
         for (Held held : live.values()) {
             bytes.write(record(takenRecord(held)));
             for (int i = 0; i < held.attempts.size(); i++) {
@@ -288,6 +330,10 @@
     private void apply(DataInputStream in, int length) throws IOException {
         int type = in.readByte();
         long number = in.readLong();
+        if (type == HEALTH) {
+            keep(in.readUTF(), new Health(Relay.State.values()[in.readByte()], number, in.readDouble()), length);
+            return;
+        }
         numbers = Math.max(numbers, number + 1);
         if (type == TAKEN) {
             String id = in.readUTF();
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -165,6 +165,11 @@
     private void replay() {
         long wall = System.currentTimeMillis();
         int resumed = 0;
+        journal.health().forEach((id, health) -> {
+            double now = openTurn();
+            double since = now - Math.max(0, wall - health.sinceMs());
+            relay.recalled(now, endpointNumber(id), new Relay.Health(health.state(), since, health.carriedPerMs()));
+        });
         for (Held held : journal.held()) {
             int messageClass = config.classes().indexOf(held.messageClass);
             if (held.over) {
@@ -286,6 +291,22 @@
         Log.line(text);
     }
 
+    @Override
+    public void remember(long endpoint, Relay.Health health) {
+        long ago = (long) (clock - health.since());
+        remember(endpointIds.get(endpoint), new Journal.Health(health.state(), System.currentTimeMillis() - ago,
+                health.carriedPerMs()));
+    }
+
+    private void remember(String endpoint, Journal.Health health) {
+        try {
+            journal.health(endpoint, health);
+        } catch (IOException e) {
+            // A later life then begins with an older state: wasteful at worst, as it finds out by itself.
+            Log.line("an endpoint's health is not in the journal: " + e.getMessage());
+        }
+    }
+
     private void end(Held held, Held.Notice notice) {
         over(held);
         ended.put(held.id, false);
@@ -377,6 +398,7 @@
                 long number = endpointNumbers.remove(gone.getKey());
                 endpointIds.remove(number);
                 endpoints.forget(number);
+                remember(gone.getKey(), new Journal.Health(Relay.State.UP, 0, 0));
             }
             return old;
         });
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -32,6 +32,7 @@
     final List<Long> closes = new ArrayList<>();
     final List<String> answers = new ArrayList<>();
     final List<Double> wakes = new ArrayList<>();
+    final Map<Long, Relay.Health> health = new HashMap<>();
     final List<Double> waits = new ArrayList<>();
     final Relay relay;
     Consumer<Sent> onSend = s -> { };
@@ -287,6 +288,11 @@
         });
     }
 
+    @Override
+    public void remember(long endpoint, Relay.Health now) {
+        health.put(endpoint, now);
+    }
+
     @Override
     public void log(String text) {
         assertFalse(text.isBlank());
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -12,8 +12,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import kestreldeal.Relay;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -63,6 +65,29 @@
         }
     }
 
+    @Test
+    void healthOutlastsLivesAndCompactionsUntilAnEndpointIsInService() throws Exception {
+        Journal.Health down = new Journal.Health(Relay.State.DOWN, 100, 0.5);
+        Journal.Health warming = new Journal.Health(Relay.State.WARMING, 200, 0.25);
+        Journal.Health up = new Journal.Health(Relay.State.UP, 300, 0.25);
+        try (Journal journal = open()) {
+            journal.health("s-1", down);
+            journal.health("s-2", down);
+            journal.health("s-1", warming);
+            journal.health("s-2", up);
+            Held held = held(journal, 1000);
+            journal.taken(held);
+            for (long written = 0; written < 2 * DISK; written += 50) {
+                journal.health("s-3", down);
+            }
+            assertTrue(journal.size() < DISK);
+        }
+        try (Journal journal = open()) {
+            assertEquals(Map.of("s-1", warming, "s-3", down), journal.health());
+            assertEquals(1, journal.held().size());
+        }
+    }
+
     @Test
     void aTornTailIsDroppedAndWrittenOver() throws Exception {
         try (Journal journal = open()) {
