Ramps know the listed and told rates; quick destinations may hold all slots but one

While the other sender was down, n0 held 200 to 570 messages with 11 to 14 of its 16 slots used, at a mean answer time of 80 to 120 ms; d1 alone had 30 to 80 waiting. Line at fault: Destination.hasSlot, `out < slots - slotsUsed - 1`, which leaves a quarter idle whoever waits. Mend: one that answers in 250 ms in the mean, with no call out of patience, gives slots back soon, so it may have all but one. Destinations back from an outage were sent 1.2 a second at the start of their ramp after a restart, at a listed rate of 38 a second: allowedRate knew neither demand nor carried rate. Mend: half of the listed rate or 0.9 of the told one, by senders and endpoints, counts as known; both are under the true capacity.

Tests: LogicTest, two; both fail without the change.

--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -56,6 +56,9 @@
     /** Answer time assumed of an endpoint that has not answered yet. */
     private static final double FIRST_LATENCY_MS = 250;
 
+    /** An endpoint that answers in so long, in the mean, gives its slots back soon. */
+    private static final double QUICK_MS = 250;
+
     /** No call is called off for another's sake before it has been out for so long. */
     private static final double CALL_OFF_LEAST_MS = 200;
 
@@ -790,6 +793,11 @@
             rate = Math.max(floor(), rate * (1 + (quick ? PACE_GROWTH : PACE_PROBE)));
         }
 
+        /** This sender's even part of what the limit is known to take at the least. */
+        double evenPart() {
+            return Math.max(LISTED_SHARE * listedRate, TOLD_SHARE * toldRate) / settings.senders();
+        }
+
         private double floor() {
             double own = Math.max(PACE_LEAST_SHARE * destination.demand.perMs(),
                     Math.max(LISTED_SHARE * listedRate, TOLD_SHARE * toldRate / Math.max(1, pressed))
@@ -904,10 +912,16 @@
             return latest;
         }
 
-        /** Fewer slots than stay free, lest a slow or silent one holds them all. */
+        /**
+         * A destination may hold fewer slots than stay free, lest a slow or silent one holds them all. One
+         * that answers quickly gives them back soon, so it may have all but one: else a quarter of them is
+         * idle beside its queue. It may hurt where it goes silent, until its first call is out of patience.
+         */
         boolean hasSlot() {
             int free = settings.slots() - slotsUsed;
-            return free > 0 && destination.out < Math.max(1, free - 1);
+            boolean quick = latency <= QUICK_MS && lastGood > Double.NEGATIVE_INFINITY
+                    && (calls.isEmpty() || clock - calls.peek().sentAt <= patience());
+            return quick && free > 1 || free > 0 && destination.out < Math.max(1, free - 1);
         }
 
         /** Whether pace and health let the next call go. */
@@ -945,7 +959,8 @@
             double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
             double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
             double asked = destination.demand.perMs() / destination.serving() * DEMAND_SHARE;
-            double known = Math.max(Math.max(carried.perMs(), carriedBefore), asked);
+            double part = limit.evenPart() / (limit == destination.shared ? destination.serving() : 1);
+            double known = Math.max(Math.max(carried.perMs(), carriedBefore), Math.max(asked, part));
             double rate = RAMP_SAFETY * cold.overloadMultiple() * capacity * known;
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
             if (rate == 0) {
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -379,6 +379,43 @@
         assertEquals(6, b.sends.size());
     }
 
+    /** Found on a reload day: a quarter of the slots stood idle beside the queue of a quick destination. */
+    @Test
+    void aQuickDestinationMayHoldAllSlotsButOneUntilACallIsOutOfPatience() {
+        Bench b = new Bench(10).list(1, 10).list(2, 20);
+        b.take(0, SAFE, 1);
+        b.end(0, 0, Outcome.DELIVERED);
+        for (long id = 1; id <= 20; id++) {
+            b.take(id, SAFE, 1);
+        }
+        assertEquals(1 + 9, b.sends.size());
+        b.take(50, SAFE, 2);
+        assertEquals(1 + 10, b.sends.size(), "one is left for others");
+        b.until(700);
+        b.end(50, 0, Outcome.DELIVERED);
+        b.end(1, 0, Outcome.DELIVERED);
+        assertEquals(1 + 11, b.sends.size());
+        b.until(900);
+        b.end(2, 0, Outcome.DELIVERED);
+        assertEquals(1 + 11, b.sends.size(), "those that are out may be silent");
+    }
+
+    /** Found on a reload day: where a life knew of no demand yet, ramps began at one call a second. */
+    @Test
+    void aRampBeginsWithTheEvenPartOfTheListedRate() {
+        Bench b = new Bench(100);
+        b.listedRate = 40;
+        b.list(1, 10);
+        b.relay.recalled(b.now, 10, new Relay.Health(Relay.State.DOWN, 0, 0));
+        b.onSend = s -> b.endLater(s, Outcome.DELIVERED, 20);
+        for (long id = 1; id <= 100; id++) {
+            b.resumeInTurn(id, SAFE, 1, 12_000, List.of());
+        }
+        b.relay.endTurn(b.now);
+        b.until(6000);
+        assertTrue(b.sends.size() >= 15 && b.sends.size() <= 40, "sent in 6 s: " + b.sends.size());
+    }
+
     /**
      * Found in incident i119abc: with nothing carried before the outage the ramp was one call in seven
      * seconds.
