--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -12,7 +12,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.DoubleStream;
 
 /**
  * The decision module. Its interface, with all types, events and actions, is Relay.java.
@@ -329,37 +328,47 @@
 
     /**
      * Sends what waits, the most pressing first, as far as gates and slots allow. Every turn looks at all
-     * that waits, so it ranks only what its destination's gates let pass: a jam must not take the CPU too.
+     * that waits, so it ranks only what its destination's gates and slots let pass: a jam must not take the
+     * CPU too.
      */
     private void dispatch() {
         List<Delivery> ranked = new ArrayList<>();
+        List<Delivery> lacking = new ArrayList<>();
         for (Delivery d : queue) {
-            if (d.destination.seenTurn != turn) {
-                d.destination.seenTurn = turn;
-                d.destination.openInTurn = d.destination.isOpen();
+            Destination to = d.destination;
+            if (to.seenTurn != turn) {
+                to.seenTurn = turn;
+                to.openInTurn = to.isOpen();
+                to.slotInTurn = joins || to.hasSlot();
             }
-            if (d.destination.openInTurn && d.notBefore <= clock) {
-                ranked.add(d);
+            if (to.openInTurn && d.notBefore <= clock) {
+                (to.slotInTurn ? ranked : lacking).add(d);
             }
         }
-        if (slotsUsed < settings.slots() || joins) {
-            ranked.forEach(d -> d.rank = d.rank());
-            ranked.sort(PRESSING_FIRST);
-            for (Delivery d : ranked) {
-                if (d.destination.isOpen()) {
-                    choose(d, false).ifPresent(target -> send(d, target, false));
-                }
+        ranked.forEach(d -> d.rank = d.rank());
+        ranked.sort(PRESSING_FIRST);
+        for (Delivery d : ranked) {
+            if (slotsUsed >= settings.slots() && !joins) {
+                break;
+            }
+            if (d.destination.isOpen()) {
+                choose(d, false).ifPresent(target -> send(d, target, false));
             }
         }
-        if (slotsUsed >= settings.slots() - 1 && ranked.stream().anyMatch(this::lacksSlot)) {
+        lacking.addAll(ranked);
+        if (slotsUsed >= settings.slots() - 1 && lacking.stream().anyMatch(this::lacksSlot)) {
             freeSlot();
         }
     }
 
     /** Whether nothing but a slot keeps it from being sent. */
     private boolean lacksSlot(Delivery d) {
-        return d.out == 0 && d.destination.targets.stream()
-                .anyMatch(t -> !t.hasSlot() && t.isOpen() && allows(d, t));
+        for (Target t : d.destination.targets) {
+            if (d.out == 0 && t.isOpen() && !t.hasSlot() && allows(d, t)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /**
@@ -549,8 +558,10 @@
     private double nextOpening() {
         double next = Double.POSITIVE_INFINITY;
         for (Destination destination : destinations.values()) {
-            if (destination.seenTurn == turn) {
-                next = Math.min(next, destination.openings().filter(at -> at > clock).min().orElse(next));
+            for (Target t : destination.targets) {
+                if (destination.seenTurn == turn && t.serving && t.gatesOpenAt() > clock) {
+                    next = Math.min(next, t.gatesOpenAt());
+                }
             }
         }
         return next;
@@ -693,9 +704,10 @@
         final Limit shared = new Limit(this);
         final Rate demand = new Rate();
         int out;
-        /** The last turn in which a message waited for it, and whether its gates let calls pass then. */
+        /** The last turn in which a message waited for it; whether gates and slots let calls pass then. */
         long seenTurn = -1;
         boolean openInTurn;
+        boolean slotInTurn;
 
         /** Endpoints that share its messages. */
         long serving() {
@@ -712,15 +724,20 @@
             return false;
         }
 
-        /** When the gates of its endpoints open, as far as time alone opens them. */
-        DoubleStream openings() {
-            return targets.stream().filter(t -> t.serving)
-                    .mapToDouble(t -> Math.max(Math.max(t.limit.waitUntil, t.limit.nextAt), t.nextAt));
+        /** Whether a slot is free for a call to any of its endpoints. */
+        boolean hasSlot() {
+            for (Target t : targets) {
+                if (t.serving && t.hasSlot()) {
+                    return true;
+                }
+            }
+            return false;
         }
 
         /** When it is worth coming back: the first opening, or now where none is known. */
         double opensAt() {
-            return openings().min().orElse(clock);
+            return targets.stream().filter(t -> t.serving).mapToDouble(Target::gatesOpenAt).min()
+                    .orElse(clock);
         }
     }
 
@@ -929,6 +946,11 @@
             return limit.nextAt <= clock && opensAt() <= clock;
         }
 
+        /** When its gates open, as far as time alone opens them. */
+        double gatesOpenAt() {
+            return Math.max(Math.max(limit.waitUntil, limit.nextAt), nextAt);
+        }
+
         /** When its health lets the next call go. */
         double opensAt() {
             return state == State.DOWN && !calls.isEmpty() ? Double.POSITIVE_INFINITY : nextAt;
@@ -1184,7 +1206,8 @@
         }
 
         boolean mayGo(Delivery d) {
-            return line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
+            return !d.type.inOrder()
+                    || line(d).map(l -> l.waiting.peek() == d && l.out == d.out && l.restUntil <= clock)
                     .orElse(true);
         }
 
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -32,10 +32,11 @@
     /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
     private static final int ENDED_KNOWN = 4096;
     /**
-     * A request may stand unread for some time where the CPU is scarce, as long as its client waits for the
-     * answer; its budget runs from when it was sent. So a message is ended so much before its time is up.
+     * A request may stand unread where the CPU is scarce, for the 400 ms that its client waits, and its budget
+     * runs from when it was sent; a notice takes a turn or two of a loop that is as late. So a message is ended
+     * so much before its time is up: 421 ms late is what was seen after a start.
      */
-    private static final long UNREAD_MS = 250;
+    private static final long UNREAD_MS = 700;
     /** From SIGTERM: new connections come for so long at most. */
     static final long TAKING_MS = 450;
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
