A call's time-out counts from the module's decision, however late the call is made

Lines at fault: Sender.send hands on a time-out that the module counted to the message's deadline from its turn's time; Endpoints.call counted it from the moment of the call, up to a second later in a long turn. Mend: it counts from the decision. It guards against any long turn. Where a turn is longer than the time-out the call ends at once, and may count against its endpoint.

--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -115,10 +115,15 @@
         return peers.size();
     }
 
-    /** Starts a call; its end is told once, within the time-out or soon after. */
-    Call call(Held held, int attempt, long endpoint, double timeoutMs) {
-        Call call = new Call(held, attempt, peers.get(endpoint), timeoutMs);
-        call.timer = loop.schedule(call::timedOut, (long) Math.ceil(timeoutMs * 1000), TimeUnit.MICROSECONDS);
+    /**
+     * Starts a call; its end is told once, within the time-out or soon after. That counts from when the module
+     * decided: where a turn takes long, a message whose time-out ends with its time would else be ended as late
+     * as the call was made, and its notice come too late.
+     */
+    Call call(Held held, int attempt, long endpoint, double timeoutMs, long decidedNanos) {
+        double leftMs = Math.max(0, timeoutMs - (System.nanoTime() - decidedNanos) / 1e6);
+        Call call = new Call(held, attempt, peers.get(endpoint), leftMs);
+        call.timer = loop.schedule(call::timedOut, (long) Math.ceil(leftMs * 1000), TimeUnit.MICROSECONDS);
         Connection kept = call.peer.newestIdle();
         if (kept != null) {
             call.write(kept);
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -255,7 +255,8 @@
             loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0, 0));
             return;
         }
-        calls.put(new Out(message, number), endpoints.call(held, number, endpoint, timeoutMs));
+        calls.put(new Out(message, number),
+                endpoints.call(held, number, endpoint, timeoutMs, startNanos + (long) (clock * 1e6)));
     }
 
     @Override
