A request that waits for its task keeps its connection from making room for a crowd's

From reading the code on the way: since requests are handled in the task after their read, one could stand as IDLE, and a crowd's connects in that turn could close it unanswered (Client.channelRead0, makeRoom). It counts as ASKING now, which makes room last. No test: which of connects and reads comes first in a turn is the system's choice.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -311,7 +311,8 @@
                 return;
             }
             begun = requests.holdsMore();
-            enter(begun ? State.ASKING : State.IDLE);
+            // Not to make room for others before it is answered.
+            enter(State.ASKING);
             request.retain();
             loop.execute(() -> {
                 try {
@@ -333,6 +334,7 @@
             if (state == State.ENDING || !channel.isActive()) {
                 return;
             }
+            enter(begun ? State.ASKING : State.IDLE);
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
                 last(HttpResponseStatus.BAD_REQUEST, "not HTTP");
