--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/kestreldeal/Logic.java
@@ -91,6 +91,8 @@
     /** Weight of a newly told rate, which counts as at most so many times more or less than those before. */
     private static final double TOLD_WEIGHT = 0.2;
     private static final double TOLD_STEP = 2;
+    /** A later life is told of a pace when it has changed by this share. */
+    private static final double PACE_REMEMBERED = 0.3;
     /** Idle for so long, a destination loses pace and counts (the design's figure). */
     private static final double IDLE_MS = 60_000;
 
@@ -152,6 +154,7 @@
     private final Map<Long, Destination> destinations = new LinkedHashMap<>();
     /** What an earlier life knew of endpoints that no list has named in this one. */
     private final Map<Long, Health> recalled = new LinkedHashMap<>();
+    private final Map<Long, Pace> recalledRoutes = new LinkedHashMap<>();
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
     private final Set<Delivery> queue = new LinkedHashSet<>();
     private final Set<Attempt> out = new LinkedHashSet<>();
@@ -189,6 +192,7 @@
                 targets.put(entry.id(), target);
                 destination.targets.add(target);
                 Optional.ofNullable(recalled.remove(entry.id())).ifPresent(target::recall);
+                Optional.ofNullable(recalledRoutes.remove(entry.id())).ifPresent(target.limit::recall);
             }
             target.limit.listedRate = settings.ratesListed() ? entry.listedRate() / 1000 : 0;
             if (entry.gone()) {
@@ -232,6 +236,16 @@
         }
     }
 
+    @Override
+    public void recalled(double now, long destination, long route, Pace pace) {
+        tick(now);
+        if (route == SHARED) {
+            destination(destination).shared.recall(pace);
+        } else {
+            recalledRoutes.put(route, pace);
+        }
+    }
+
     @Override
     public void closing(double now, double end) {
         tick(now);
@@ -307,7 +321,7 @@
     }
 
     private Destination destination(long id) {
-        return destinations.computeIfAbsent(id, unknown -> new Destination());
+        return destinations.computeIfAbsent(id, Destination::new);
     }
 
     /** Forgets the times that lie further back. */
@@ -700,8 +714,9 @@
 
     /** A destination: its endpoints and, where they share one, its limit. */
     private final class Destination {
+        final long id;
         final List<Target> targets = new ArrayList<>();
-        final Limit shared = new Limit(this);
+        final Limit shared = new Limit(this, SHARED);
         final Rate demand = new Rate();
         int out;
         /** The last turn in which a message waited for it; whether gates and slots let calls pass then. */
@@ -709,6 +724,10 @@
         boolean openInTurn;
         boolean slotInTurn;
 
+        Destination(long id) {
+            this.id = id;
+        }
+
         /** Endpoints that share its messages. */
         long serving() {
             return Math.max(1, targets.stream().filter(t -> t.serving).count());
@@ -746,6 +765,7 @@
         final Rate sends = new Rate();
         final Deque<Double> lastSecond = new ArrayDeque<>();
         final Destination destination;
+        final long route;
         int pressed;
         double listedRate;
         double toldRate;
@@ -754,14 +774,33 @@
         double waitUntil = Double.NEGATIVE_INFINITY;
         double edge;
         double cutAt = Double.NEGATIVE_INFINITY;
+        double remembered;
 
-        Limit(Destination destination) {
+        Limit(Destination destination, long route) {
             this.destination = destination;
+            this.route = route;
+        }
+
+        /** Goes on where an earlier life ended, lest all that is held be refused once more to find it. */
+        void recall(Pace pace) {
+            rate = pace.perMs();
+            remembered = rate;
+            edge = pace.edgePerMs();
+            toldRate = pace.toldPerMs();
+            nextAt = clock + random.nextDouble() / rate;
+        }
+
+        private void remember() {
+            if (Math.abs(rate - remembered) > PACE_REMEMBERED * remembered) {
+                remembered = rate;
+                actions.remember(destination.id, route, new Pace(rate, edge, toldRate));
+            }
         }
 
         void sent() {
             if (!lastSecond.isEmpty() && lastSecond.peekLast() < clock - IDLE_MS) {
                 rate = Double.POSITIVE_INFINITY;
+                remember();
             }
             sends.count();
             lastSecond.add(clock);
@@ -802,12 +841,16 @@
             if (nextAt > waitUntil) {
                 nextAt = Math.max(clock, waitUntil) + (0.5 + random.nextDouble()) / rate;
             }
+            remember();
         }
 
         void delivered() {
             pressed = Math.max(pressed - 1, 0);
             boolean quick = rate < PACE_NEAR * edge || clock > cutAt + PACE_MEMORY_MS;
             rate = Math.max(floor(), rate * (1 + (quick ? PACE_GROWTH : PACE_PROBE)));
+            if (rate < Double.POSITIVE_INFINITY) {
+                remember();
+            }
         }
 
         /** This sender's even part of what the limit is known to take at the least. */
@@ -886,7 +929,8 @@
             Kind kind = settings.kinds().get(Math.min(entry.kind(), settings.kinds().size() - 1));
             this.entry = entry;
             this.destination = destination;
-            this.limit = kind.separateRoutes() ? new Limit(destination) : destination.shared;
+            this.limit = kind.separateRoutes() ? new Limit(destination, entry.id())
+                    : destination.shared;
             this.batch = kind.batch();
             boolean charged = kind.separateRoutes() && entry.zone() < settings.zoneFees().size();
             this.fee = charged ? settings.zoneFees().get(entry.zone()) : 0;
--- a/src/main/java/kestreldeal/Relay.java
+++ b/src/main/java/kestreldeal/Relay.java
@@ -19,6 +19,9 @@
  * an ended message, a wake that is no longer needed, a second end of one attempt) is ignored.
  */
 public interface Relay {
+    /** In place of a route: its destination's endpoints share one limit. */
+    long SHARED = -1;
+
     /** A new instance, with no state; equal settings, seeds and events give equal actions. */
     static Relay create(Settings settings, long seed, Actions actions) {
         return new Logic(settings, seed, actions);
@@ -48,6 +51,12 @@
      */
     void recalled(double now, long endpoint, Health health);
 
+    /**
+     * The pace of a destination, or of one of its endpoints where these are separate routes ({@link #SHARED}
+     * where not), as it was last told by {@link Actions#remember} in an earlier life.
+     */
+    void recalled(double now, long destination, long route, Pace pace);
+
     /**
      * The sender will stop at this time: no call starts any more that can't be expected to end before it.
      */
@@ -100,6 +109,10 @@
         default void remember(long endpoint, Health health) {
         }
 
+        /** The pace of a destination, or of a route, has changed: the same. */
+        default void remember(long destination, long route, Pace pace) {
+        }
+
         /** A line for the people on call. */
         void log(String text);
     }
@@ -196,6 +209,13 @@
         }
     }
 
+    /**
+     * A pace in calls a millisecond, infinite where there is none; where it was last refused; and the rate that
+     * its answers told, or 0.
+     */
+    record Pace(double perMs, double edgePerMs, double toldPerMs) {
+    }
+
     /** What worth falls to after the aim: evenly to the last, or by half with each further aim. */
     enum Decay {
         /** Evenly, down to the late worth at the deadline. */
--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -43,11 +43,18 @@
             this.then = then;
         }
 
+        /** There is none while its connection is not up yet. */
+        private void stopTimer() {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+        }
+
         /** Answers once; what comes later is nobody's. */
         void end(Optional<FullHttpResponse> answer) {
             if (current == this) {
                 current = null;
-                timer.cancel(false);
+                stopTimer();
                 then.accept(answer);
             }
         }
@@ -68,15 +75,19 @@
                 });
     }
 
-    /** Sends a request; exactly one answer follows, empty if none came within the limit. */
+    /**
+     * Sends a request; exactly one answer follows, empty if none came within the limit, which counts from when
+     * the request goes out on an open connection. When it has passed, what has come by then is read first.
+     * Guards against a loop that is behind: where each of its rounds takes long, connecting and asking take
+     * several, and giving up between two of them would begin it all again, for ever.
+     */
     void ask(FullHttpRequest request, long limitMs, Consumer<Optional<FullHttpResponse>> then) {
         request.headers().set(HttpHeaderNames.HOST, Endpoints.hostPort(address))
                 .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         Request mine = new Request(then);
         current = mine;
-        mine.timer = loop.schedule(() -> fail(mine), limitMs, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
-            channel.writeAndFlush(request);
+            send(mine, request, limitMs);
             return;
         }
         bootstrap.connect(address).addListener((ChannelFuture f) -> {
@@ -86,11 +97,21 @@
                 mine.end(Optional.empty());
             } else {
                 channel = f.channel();
-                channel.writeAndFlush(request);
+                send(mine, request, limitMs);
             }
         });
     }
 
+    private void send(Request mine, FullHttpRequest request, long limitMs) {
+        // The second step is due at once, but after one more look at what the sockets have.
+        mine.timer = loop.schedule(() -> {
+            if (current == mine) {
+                mine.timer = loop.schedule(() -> fail(mine), 0, TimeUnit.MILLISECONDS);
+            }
+        }, limitMs, TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(request);
+    }
+
     private void fail(Request request) {
         disconnect();
         request.end(Optional.empty());
@@ -106,7 +127,7 @@
     /** Gives up what is out, without an answer: its asker has turned to another agent. */
     void close() {
         if (current != null) {
-            current.timer.cancel(false);
+            current.stopTimer();
             current = null;
         }
         disconnect();
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/kestreldeal/net/Discovery.java
@@ -56,6 +56,11 @@
         this.lists = lists;
     }
 
+    /** Whether discovery has answered, so that the list is not merely what the configuration knew. */
+    boolean fresh() {
+        return generation >= 0;
+    }
+
     /** Takes over what the configuration knew, if anything, and asks for the rest from now on. */
     void start(Optional<JsonNode> known) {
         known.ifPresent(list -> take(list, true));
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -99,6 +99,16 @@
             closeIdle(endpoint);
         }
         peer.address = address;
+        peer.serving = serving;
+    }
+
+    /** Nothing new may go there, be it decided already: a call that waits to be connected is not made. */
+    void stop(long endpoint) {
+        Peer peer = peers.get(endpoint);
+        if (peer != null) {
+            peer.serving = false;
+            closeIdle(endpoint);
+        }
     }
 
     /** An endpoint has been gone for long: its connections are closed, those of calls out once they end. */
@@ -107,6 +117,7 @@
         Peer peer = peers.remove(endpoint);
         if (peer != null) {
             peer.address = null;
+            peer.serving = false;
         }
     }
 
@@ -142,7 +153,7 @@
 
     void closeIdle(long endpoint) {
         Peer peer = peers.get(endpoint);
-        if (peer != null) {
+        if (peer != null && !peer.idle.isEmpty()) {
             new ArrayList<>(peer.idle).forEach(Connection::close);
         }
     }
@@ -163,6 +174,7 @@
 
     private final class Peer {
         InetSocketAddress address;
+        boolean serving;
         final Deque<Connection> idle = new ArrayDeque<>();
 
         Connection newestIdle() {
@@ -204,6 +216,10 @@
                 f.channel().close();
             } else if (!f.isSuccess()) {
                 end(Outcome.UNREACHABLE);
+            } else if (!peer.serving || !dialled.equals(peer.address)) {
+                // Connecting took its time, and the list has changed meanwhile: nothing new may go there.
+                end(Outcome.NOT_SENT);
+                f.channel().close();
             } else {
                 Connection fresh = f.channel().pipeline().get(Connection.class);
                 fresh.peer = peer;
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -20,6 +20,8 @@
     final byte[] body;
     final List<Attempt> attempts = new ArrayList<>();
     Optional<Notice> owed = Optional.empty();
+    /** Since when this life holds it, by the wall clock. */
+    final long takenMs = System.currentTimeMillis();
     /** Bytes of its records in the journal. */
     long bytes;
     /** Its client has heard that it was taken; what comes back from the journal counts as heard. */
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -34,7 +34,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -66,12 +68,28 @@
     private static final long SWEEP_MS = 200;
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
+    /**
+     * Requests that are taken in one turn. Guards against a crowd whose requests would hold up what is due: the
+     * turn's ends, notices and calls go out before the next ones are looked at.
+     */
+    private static final int TAKEN_IN_TURN = 32;
 
     /** What a request asks to be delivered. */
     record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
                       long budgetMs, byte[] body) {
     }
 
+    /** What became of a submission: it is held, or refused, with the time to come back after, or 0. */
+    record Taking(Optional<Held> held, String reason, long waitMs) {
+        static Taking taken(Held held) {
+            return new Taking(Optional.of(held), "", 0);
+        }
+
+        static Taking refused(String reason, long waitMs) {
+            return new Taking(Optional.empty(), reason, waitMs);
+        }
+    }
+
     /** The sender's side of a request. */
     interface Desk {
         /** Whether messages can be taken now. */
@@ -90,8 +108,8 @@
         /** How a message with this id was answered before, if one is held, or was until a moment ago. */
         Optional<HttpResponseStatus> answeredBefore(String id);
 
-        /** Journals a message, or refuses it by an empty answer. */
-        Optional<Held> take(Submission submission);
+        /** Journals a message, or refuses it. */
+        Taking take(Submission submission);
 
         /** The client has heard that it was taken, or never will. */
         void answered(Held held, boolean heard);
@@ -103,9 +121,14 @@
     /** The connections in each state, those that are in it longest first. */
     private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
     private final ServerBootstrap bootstrap;
+    /** Requests that were read and not looked at yet. */
+    private final Deque<Pending> pending = new ArrayDeque<>();
     private Channel listener;
     private boolean closing;
 
+    private record Pending(Client client, FullHttpRequest request) {
+    }
+
     Intake(EventLoop loop, int mostClients, Desk desk) {
         this.loop = loop;
         this.desk = desk;
@@ -147,6 +170,33 @@
         listener.close();
     }
 
+    private void await(Client client, FullHttpRequest request) {
+        pending.add(new Pending(client, request.retain()));
+        if (pending.size() == 1) {
+            loop.execute(this::takeSome);
+        }
+    }
+
+    private void takeSome() {
+        for (int i = 0; i < TAKEN_IN_TURN && !pending.isEmpty(); i++) {
+            Pending first = pending.peek();
+            try {
+                first.client.take(first.request);
+            } catch (RuntimeException e) {
+                // A fault over one request must not leave those behind it unanswered.
+                Log.line("a request failed: " + e);
+                first.client.channel.close();
+            } finally {
+                first.request.release();
+                pending.remove();
+            }
+        }
+        if (!pending.isEmpty()) {
+            // Not at once: the sockets are looked at in between, for the list and for answers.
+            loop.schedule(this::takeSome, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Connections that clients have open. */
     int clients() {
         return clients.values().stream().mapToInt(Set::size).sum();
@@ -313,14 +363,7 @@
             begun = requests.holdsMore();
             // Not to make room for others before it is answered.
             enter(State.ASKING);
-            request.retain();
-            loop.execute(() -> {
-                try {
-                    take(request);
-                } finally {
-                    request.release();
-                }
-            });
+            await(this, request);
         }
 
         /**
@@ -366,17 +409,24 @@
                 end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no list names this dest");
                 return;
             }
-            Optional<Held> taken = desk.take(submission);
-            if (taken.isEmpty()) {
-                end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no room");
-                return;
+            Taking taking = desk.take(submission);
+            if (taking.held().isPresent()) {
+                Held held = taking.held().get();
+                end(request, HttpResponseStatus.ACCEPTED, "").addListener(f -> desk.answered(held, f.isSuccess()));
+            } else {
+                FullHttpResponse refusal = answer(HttpResponseStatus.SERVICE_UNAVAILABLE, taking.reason());
+                if (taking.waitMs() > 0) {
+                    refusal.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(taking.waitMs()));
+                }
+                end(request, refusal);
             }
-            end(request, HttpResponseStatus.ACCEPTED, "")
-                    .addListener(f -> desk.answered(taken.get(), f.isSuccess()));
         }
 
         private ChannelFuture end(FullHttpRequest request, HttpResponseStatus status, String text) {
-            FullHttpResponse answer = answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text);
+            return end(request, answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text));
+        }
+
+        private ChannelFuture end(FullHttpRequest request, FullHttpResponse answer) {
             if (!closing && HttpUtil.isKeepAlive(request)) {
                 return channel.writeAndFlush(answer);
             }
@@ -400,6 +450,11 @@
         }
     }
 
+    /** Seconds with three decimals, as {@code Retry-After} has them here. */
+    private static String seconds(long ms) {
+        return ms / 1000 + "." + Long.toString(1000 + ms % 1000).substring(1);
+    }
+
     private static FullHttpResponse answer(HttpResponseStatus status, String text) {
         FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -14,6 +14,8 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -36,16 +38,36 @@
     private static final int OWED = 4;
     private static final int ENDED = 5;
     private static final int HEALTH = 6;
+    /** A message that nobody is owed an end of; its id is forgotten. */
+    private static final int WITHDRAWN = 7;
+    /** The id of a message that is over, in a compacted file. */
+    private static final int OVER = 8;
+    private static final int PACE = 9;
+    /** The reckoning of time of the records behind it. */
+    private static final int CLOCK = 10;
     /** Length and checksum. */
-    private static final int HEAD = 12;
+    static final int HEAD = 12;
     /** Longest record that is believed: a longer one is a torn or foreign length. */
-    private static final int LONGEST = 1 << 20;
+    static final int LONGEST = 1 << 20;
     /** Room for the later records of a message: for each attempt, and for its end. */
     private static final int ATTEMPT_ROOM = 128;
     private static final int END_ROOM = 64;
     /** Files count in whole blocks: two files, and a block to spare. */
     private static final int BLOCKS = 3 * 512;
+    /** Part of the bound for ids that are over. */
+    private static final int OVER_PART = 32;
+    /** Clocks that differ by less were not set: they are read a moment apart. */
+    private static final long SET_MS = 50;
+    /** In place of an endpoint, for an attempt whose record can't be read. */
+    private static final String UNKNOWN = "";
+
+    /** How a file is opened; tests stand in for a disk that fails. */
+    interface Opener {
+        FileChannel open(Path file, StandardOpenOption... options) throws IOException;
+    }
 
+    private final Opener opener;
+    private final LifeClock.Mark clock;
     private final Path file;
     private final Path next;
     private final long bound;
@@ -53,23 +75,40 @@
     private final Map<Long, Held> live = new TreeMap<>();
     /** What the module last knew of endpoints that are not in service. */
     private final Map<String, Health> health = new TreeMap<>();
+    private final Map<PaceOf, Relay.Pace> paces = new LinkedHashMap<>();
+    /** Ids of messages that are over, the newest last, and whether they were delivered. */
+    private final Map<String, Boolean> over = new LinkedHashMap<>();
+    private long overBytes;
     private FileChannel channel;
     private long size;
     private long liveBytes;
     private long numbers;
 
     Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
+        this(folder, diskBytes, maxAttempts, LifeClock.system().mark(), FileChannel::open);
+    }
+
+    /** Times of earlier lives are moved to this life's reckoning as they are read. */
+    Journal(Path folder, long diskBytes, int maxAttempts, LifeClock.Mark clock, Opener opener) throws IOException {
+        this.opener = opener;
+        this.clock = clock;
         this.file = folder.resolve("journal");
         this.next = folder.resolve("journal.next");
         this.bound = diskBytes - BLOCKS;
         this.messageRoom = (long) maxAttempts * ATTEMPT_ROOM + END_ROOM;
         // A compaction that the process did not live to finish still takes up room.
         Files.deleteIfExists(next);
-        channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        channel = opener.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         size = replay(Files.readAllBytes(file));
         // A torn tail would hide all that is appended behind it.
         channel.truncate(size);
         channel.position(size);
+        try {
+            write(record(clockRecord()));
+        } catch (IOException e) {
+            // What is held has to be ended all the same; only a clock that is set meanwhile is not seen.
+            Log.line("the journal can't be written: " + e.getMessage());
+        }
     }
 
     /** What was held when the last process ended, in the order taken. */
@@ -111,17 +150,78 @@
         append(held, record(owedRecord(held, notice)));
     }
 
-    /** Nothing more is owed for the message. */
+    /** Nothing more is owed for the message; its id is known for a while. */
     void ended(Held held) throws IOException {
+        end(held, ENDED);
+        known(held.id, held.owed.isEmpty());
+    }
+
+    /** The message was never taken on in its client's eyes, and its id means nothing. */
+    void withdrawn(Held held) throws IOException {
+        end(held, WITHDRAWN);
+    }
+
+    private void end(Held held, int type) throws IOException {
         if (live.remove(held.number) != null) {
             liveBytes -= held.bytes;
             write(record(out -> {
-                out.writeByte(ENDED);
+                out.writeByte(type);
                 out.writeLong(held.number);
             }));
         }
     }
 
+    /** Ids of messages that were over when the last process ended, the oldest first; true where delivered. */
+    Map<String, Boolean> over() {
+        return new LinkedHashMap<>(over);
+    }
+
+    private void known(String id, boolean delivered) {
+        if (over.put(id, delivered) == null) {
+            count(overRoom(id));
+        }
+        Iterator<String> eldest = over.keySet().iterator();
+        while (overBytes > bound / OVER_PART) {
+            count(-overRoom(eldest.next()));
+            eldest.remove();
+        }
+    }
+
+    private void count(int bytes) {
+        overBytes += bytes;
+        liveBytes += bytes;
+    }
+
+    /** Bytes of its record, at the most. */
+    private static int overRoom(String id) {
+        return HEAD + 12 + 3 * id.length();
+    }
+
+    /** A destination, and one of its endpoints where these have limits of their own, else an empty name. */
+    record PaceOf(long destination, String route) {
+    }
+
+    /** A pace has changed; one that is unbounded takes up no room. */
+    void pace(PaceOf of, Relay.Pace now) throws IOException {
+        byte[] record = record(paceRecord(of, now));
+        write(record);
+        keep(of, now, record.length);
+    }
+
+    /** The paces that were known when the last process ended. */
+    Map<PaceOf, Relay.Pace> paces() {
+        return new LinkedHashMap<>(paces);
+    }
+
+    private void keep(PaceOf of, Relay.Pace now, int bytes) {
+        boolean before = paces.remove(of) != null;
+        boolean stays = now.perMs() < Double.POSITIVE_INFINITY;
+        if (stays) {
+            paces.put(of, now);
+        }
+        liveBytes += (stays ? bytes : 0) - (before ? bytes : 0);
+    }
+
     /** An endpoint's state, since when on the wall clock, and the rate that it carried before. */
     record Health(Relay.State state, long sinceMs, double carriedPerMs) {
     }
@@ -182,7 +282,7 @@
         }
     }
 
-    private static long checksum(byte[] bytes, int from, int length) {
+    static long checksum(byte[] bytes, int from, int length) {
         CRC32 crc = new CRC32();
         crc.update(bytes, from, length);
         return crc.getValue();
@@ -241,6 +341,35 @@
         };
     }
 
+    private static Body paceRecord(PaceOf of, Relay.Pace pace) {
+        return out -> {
+            out.writeByte(PACE);
+            out.writeLong(of.destination());
+            out.writeUTF(of.route());
+            out.writeDouble(pace.perMs());
+            out.writeDouble(pace.edgePerMs());
+            out.writeDouble(pace.toldPerMs());
+        };
+    }
+
+    private static Body overRecord(String id, boolean delivered) {
+        return out -> {
+            out.writeByte(OVER);
+            out.writeLong(0);
+            out.writeUTF(id);
+            out.writeBoolean(delivered);
+        };
+    }
+
+    private Body clockRecord() {
+        return out -> {
+            out.writeByte(CLOCK);
+            out.writeLong(clock.wallMs());
+            out.writeLong(clock.monoMs());
+            out.writeLong(clock.boot());
+        };
+    }
+
     private void append(Held held, byte[] record) throws IOException {
         write(record);
         held.bytes += record.length;
@@ -274,9 +403,16 @@
 
     private void compact() throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream((int) liveBytes);
+        bytes.write(record(clockRecord()));
         for (Map.Entry<String, Health> known : health.entrySet()) {
             bytes.write(record(healthRecord(known.getKey(), known.getValue())));
         }
+        for (Map.Entry<PaceOf, Relay.Pace> known : paces.entrySet()) {
+            bytes.write(record(paceRecord(known.getKey(), known.getValue())));
+        }
+        for (Map.Entry<String, Boolean> known : over.entrySet()) {
+            bytes.write(record(overRecord(known.getKey(), known.getValue())));
+        }
         for (Held held : live.values()) {
             bytes.write(record(takenRecord(held)));
             for (int i = 0; i < held.attempts.size(); i++) {
@@ -289,7 +425,7 @@
                 bytes.write(record(owedRecord(held, held.owed.get())));
             }
         }
-        FileChannel fresh = FileChannel.open(next, StandardOpenOption.CREATE,
+        FileChannel fresh = opener.open(next, StandardOpenOption.CREATE,
                 StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE);
         try {
             writeAll(fresh, bytes.toByteArray());
@@ -306,35 +442,95 @@
 
     // ---- reading ----
 
-    /** Reads up to the first record that is not whole; returns where it begins. */
+    /**
+     * Reads what is whole. A record in which one bit is wrong is mended by its checksum; behind one that can't
+     * be, reading goes on at the next whole record, and what the lost ones may have told counts as the worst:
+     * each message held by then may have run. Returns where the last whole record ends.
+     */
     private long replay(byte[] bytes) {
-        int at = 0;
-        while (bytes.length - at >= HEAD) {
-            ByteBuffer head = ByteBuffer.wrap(bytes, at, HEAD);
-            int length = head.getInt();
-            long checksum = head.getLong();
-            if (length < 1 || length > LONGEST || length > bytes.length - at - HEAD
-                    || checksum(bytes, at + HEAD, length) != checksum) {
-                break;
+        int end = 0;
+        long mended = 0;
+        long lost = 0;
+        Records records = new Records(bytes);
+        while (records.next()) {
+            if (records.skipped() > 0) {
+                lost += records.skipped();
+                mayHaveRun();
             }
+            mended += records.mended() ? 1 : 0;
             try {
-                apply(new DataInputStream(new ByteArrayInputStream(bytes, at + HEAD, length)), HEAD + length);
-            } catch (IOException e) {
-                break;
+                apply(new DataInputStream(new ByteArrayInputStream(bytes, records.from(), records.length())),
+                        HEAD + records.length());
+            } catch (IOException | RuntimeException e) {
+                lost += HEAD + records.length();
+                Log.line("a record of the journal is not understood, at byte " + records.from() + ": " + e);
+            }
+            end = records.from() + records.length();
+        }
+        if (mended > 0) {
+            Log.line("the journal had a wrong bit in " + mended + " records, which are mended");
+        }
+        if (lost > 0) {
+            Log.line("the journal has lost " + lost + " bytes in its middle: what they told of is not known, and "
+                    + "each of the " + live.size() + " messages held may have run");
+        }
+        if (end < bytes.length) {
+            Log.line("the journal's last " + (bytes.length - end) + " bytes are no whole record and are dropped");
+        }
+        return end;
+    }
+
+    /** The latest time that a record has told, by this life's clock. */
+    private long latestMs = Long.MIN_VALUE;
+    /** What to add to the times of the records that are read. */
+    private long shift;
+
+    private void mayHaveRun() {
+        for (Held held : live.values()) {
+            if (!held.over) {
+                // At the earliest that it may have been sent: a window counts from there.
+                held.attempts.add(new Held.Attempt(UNKNOWN, Math.max(latestMs, 0)));
+                held.bytes += ATTEMPT_ROOM;
+                liveBytes += ATTEMPT_ROOM;
             }
-            at += HEAD + length;
         }
-        return at;
+    }
+
+    private long moved(long timeMs) {
+        latestMs = Math.max(latestMs, timeMs + shift);
+        return timeMs + shift;
     }
 
     private void apply(DataInputStream in, int length) throws IOException {
         int type = in.readByte();
         long number = in.readLong();
-        if (type == HEALTH) {
-            keep(in.readUTF(), new Health(Relay.State.values()[in.readByte()], number, in.readDouble()), length);
-            return;
+        switch (type) {
+            case HEALTH -> {
+                String endpoint = in.readUTF();
+                keep(endpoint, new Health(Relay.State.values()[in.readByte()], moved(number), in.readDouble()),
+                        length);
+                return;
+            }
+            case PACE -> {
+                PaceOf of = new PaceOf(number, in.readUTF());
+                keep(of, new Relay.Pace(in.readDouble(), in.readDouble(), in.readDouble()), length);
+                return;
+            }
+            case OVER -> {
+                known(in.readUTF(), in.readBoolean());
+                return;
+            }
+            case CLOCK -> {
+                shift = new LifeClock.Mark(number, in.readLong(), in.readLong()).shiftTo(clock);
+                shift = Math.abs(shift) < SET_MS ? 0 : shift;
+                if (shift != 0) {
+                    Log.line("the wall clock was moved by " + shift + " ms since an earlier life; its times follow");
+                }
+                latestMs = Math.max(latestMs, number + shift);
+                return;
+            }
+            default -> numbers = Math.max(numbers, number + 1);
         }
-        numbers = Math.max(numbers, number + 1);
         if (type == TAKEN) {
             String id = in.readUTF();
             String messageClass = in.readUTF();
@@ -342,7 +538,7 @@
             boolean keyed = in.readBoolean();
             String key = in.readUTF();
             Held held = new Held(number, id, messageClass, tenant, keyed ? Optional.of(key) : Optional.empty(),
-                    in.readLong(), in.readLong(), in.readNBytes(in.readInt()));
+                    in.readLong(), in.readLong() + shift, in.readNBytes(in.readInt()));
             live.put(number, held);
             count(held, length);
             return;
@@ -352,15 +548,18 @@
             return;
         }
         switch (type) {
-            case ATTEMPT -> held.attempts.add(new Held.Attempt(in.readUTF(), in.readLong()));
+            case ATTEMPT -> held.attempts.add(new Held.Attempt(in.readUTF(), moved(in.readLong())));
             case NEVER_RAN -> held.attempts.get(in.readInt()).neverRan = true;
             case OWED -> {
                 held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
                 held.over = true;
             }
-            case ENDED -> {
+            case ENDED, WITHDRAWN -> {
                 live.remove(number);
                 liveBytes -= held.bytes;
+                if (type == ENDED) {
+                    known(held.id, held.owed.isEmpty());
+                }
                 return;
             }
             default -> throw new IOException("unknown record " + type);
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -22,10 +22,13 @@
 
 /**
  * Notices to the platform of messages that ended undelivered: one batch at a time, each sent again until it
- * was heard. Hearing one twice does no harm; one that is not heard is a lost message.
+ * was heard. Hearing one twice does no harm; one that is not heard is a lost message. What a turn has ended is
+ * written by {@link #flush}, before that turn's calls.
  */
 final class Notices {
-    private static final int MOST_IN_BATCH = 200;
+    private static final int MOST_IN_BATCH = 1000;
+    /** A body holds 64 KiB at most. */
+    private static final int LONGEST_BATCH = 60_000;
     private static final long LIMIT_MS = 500;
     private static final long PAUSE_MS = 50;
 
@@ -36,7 +39,8 @@
     private final Deque<Held> owed = new ArrayDeque<>();
     private int most = MOST_IN_BATCH;
     private boolean asked;
-    private Future<?> next;
+    /** The rest after a batch that was not heard, if there is one. */
+    private Optional<Future<?>> next = Optional.empty();
 
     Notices(EventLoop loop, Agent agent, Consumer<Held> heard) {
         this.loop = loop;
@@ -44,12 +48,16 @@
         this.heard = heard;
     }
 
-    /** Sends the notice that this message is owed; what is owed in one turn goes together. */
+    /** Owes the platform this message's notice, from the next {@link #flush} on. */
     void owe(Held held) {
         owed.add(held);
-        if (!asked) {
+    }
+
+    /** Sends what is owed, unless a batch is out or rests: then it goes with the next one. */
+    void flush() {
+        if (!asked && !owed.isEmpty()) {
             asked = true;
-            postIn(0);
+            post();
         }
     }
 
@@ -58,8 +66,8 @@
         agent.close();
         agent = other;
         if (asked) {
-            next.cancel(false);
-            postIn(0);
+            next.ifPresent(n -> n.cancel(false));
+            post();
         }
     }
 
@@ -68,19 +76,16 @@
         return owed.size();
     }
 
-    private void postIn(long pauseMs) {
-        next = loop.schedule(this::post, pauseMs, TimeUnit.MILLISECONDS);
-    }
-
     private void post() {
         List<Held> batch = new ArrayList<>();
         StringBuilder lines = new StringBuilder();
         for (Held held : owed) {
-            if (batch.size() == most) {
+            String line = line(held);
+            if (batch.size() == most || lines.length() + line.length() > LONGEST_BATCH) {
                 break;
             }
             batch.add(held);
-            lines.append(line(held)).append('\n');
+            lines.append(line).append('\n');
         }
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                 "/reports", Unpooled.copiedBuffer(lines, StandardCharsets.UTF_8));
@@ -102,7 +107,8 @@
     private void answered(List<Held> batch, Optional<FullHttpResponse> answer) {
         int status = answer.map(a -> a.status().code()).orElse(0);
         if (status == 204) {
-            owed.removeAll(batch);
+            // Only what is behind them was added since.
+            batch.forEach(told -> owed.remove());
             most = MOST_IN_BATCH;
             batch.forEach(heard);
         } else if (status == 400) {
@@ -112,8 +118,10 @@
             owed.addLast(owed.removeFirst());
         }
         asked = !owed.isEmpty();
-        if (asked) {
-            postIn(status == 204 ? 0 : PAUSE_MS);
+        if (asked && status == 204) {
+            post();
+        } else if (asked) {
+            next = Optional.of(loop.schedule(this::post, PAUSE_MS, TimeUnit.MILLISECONDS));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/kestreldeal/net/Recovery.java
@@ -0,0 +1,149 @@
+package kestreldeal.net;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import kestreldeal.recovery.Plan;
+
+/**
+ * Takes up what an earlier life held, by its {@link Plan}: a slice in a turn, and the loop free between two.
+ * Ends need no list and go out before anything else. What may still be delivered waits for the list that
+ * discovery has, but not for long; if its time is up meanwhile it is ended.
+ */
+final class Recovery {
+    /** How long the list that the configuration knew must do without discovery's word before it is used. */
+    private static final long FRESH_MS = 250;
+    /** While there is no list at all, what is due is looked for so often. */
+    private static final long LOOK_MS = 100;
+
+    /** What the sender does with each message, and when a stage is over. */
+    interface Steps {
+        /** Its end was decided in an earlier life: the platform has to hear it. */
+        void tell(Held held);
+
+        /** Back to the module; {@code leftMs} is 0 or less where its time is up. */
+        void resume(Held held, long leftMs);
+
+        /** Every end that was due at the start is out. */
+        void endsOut();
+
+        /** Everything is back; so many messages may still be delivered. */
+        void done(int resumed);
+    }
+
+    private final EventLoop loop;
+    private final LongSupplier wallMs;
+    private final Predicate<Held> inOrder;
+    private final Steps steps;
+    private final Map<Long, Held> left = new HashMap<>();
+    private final List<Held> taken;
+    private Plan plan;
+    /** A list is known that may be acted on; any will do where nothing waits to be sent. */
+    private boolean listed;
+    private boolean toldEnds;
+    private boolean waiting;
+    private int resumed;
+    private int turns;
+
+    Recovery(EventLoop loop, LongSupplier wallMs, List<Held> held, Predicate<Held> inOrder, Steps steps) {
+        this.loop = loop;
+        this.wallMs = wallMs;
+        this.inOrder = inOrder;
+        this.steps = steps;
+        this.taken = held;
+        for (Held h : held) {
+            left.put(h.number, h);
+        }
+    }
+
+    /** Begins, with the first slice in this turn. */
+    void start() {
+        plan();
+        step();
+    }
+
+    /** A list is known; {@code fresh}: from discovery itself. */
+    void listKnown(boolean fresh) {
+        if (fresh || left.isEmpty()) {
+            listed();
+        } else {
+            loop.schedule(this::listed, FRESH_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Turns that slices have taken so far. */
+    int turns() {
+        return turns;
+    }
+
+    private void listed() {
+        if (!listed) {
+            listed = true;
+            if (waiting) {
+                step();
+            }
+        }
+    }
+
+    private void plan() {
+        long now = wallMs.getAsLong();
+        List<Plan.Item> items = new ArrayList<>();
+        for (Held held : taken) {
+            if (left.containsKey(held.number)) {
+                items.add(new Plan.Item(held.number, held.deadlineMs - now, held.over, inOrder.test(held)));
+            }
+        }
+        plan = new Plan(items);
+    }
+
+    private void step() {
+        waiting = false;
+        if (plan.endsLeft()) {
+            takeUp(plan.next());
+        } else if (!toldEnds) {
+            toldEnds = true;
+            steps.endsOut();
+            again(0);
+        } else if (!listed) {
+            waiting = true;
+            loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
+        } else if (plan.left() > 0) {
+            takeUp(plan.next());
+        } else {
+            steps.done(resumed);
+        }
+    }
+
+    private void again(long delayMs) {
+        // By the clock, not at once: the sockets are looked at in between.
+        loop.schedule(this::step, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Still no list: what has run out of time meanwhile is ended without one. */
+    private void look() {
+        if (waiting) {
+            plan();
+            step();
+        }
+    }
+
+    private void takeUp(Plan.Slice slice) {
+        turns++;
+        long now = wallMs.getAsLong();
+        for (long number : slice.numbers()) {
+            Held held = left.remove(number);
+            if (slice.step() == Plan.Step.TELL) {
+                steps.tell(held);
+            } else {
+                resumed += slice.step() == Plan.Step.RESUME ? 1 : 0;
+                steps.resume(held, held.deadlineMs - now);
+            }
+        }
+        again(0);
+    }
+}
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.FileChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -19,6 +20,8 @@
 import java.util.concurrent.TimeUnit;
 import kestreldeal.BadInput;
 import kestreldeal.Relay;
+import kestreldeal.admission.Admission;
+import kestreldeal.trace.Trace;
 
 /**
  * One real sender: the event loop, the clock, and the names that the module knows by numbers. The loop's
@@ -44,6 +47,10 @@
     private static final long DRAIN_POLL_MS = 20;
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
     private static final long GONE_MS = 60_000;
+    /** A message that is ended so much after it was due is traced: half of what the rules leave. */
+    private static final double LATE_END_MS = 150;
+    /** The property that switches the account of the loop's time on: {@code -Dsender.trace=true}. */
+    static final boolean TRACED = Boolean.getBoolean("sender.trace");
 
     private final Config config;
     private final long takingMs;
@@ -52,6 +59,8 @@
     private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
+    private final LifeClock life;
+    private final CountDownLatch endsOut = new CountDownLatch(1);
     private final Map<String, Long> endpointNumbers = new HashMap<>();
     private final Map<Long, String> endpointIds = new HashMap<>();
     private long nextEndpoint;
@@ -73,7 +82,12 @@
     private final Set<Long> destinations = new HashSet<>();
     /** Attempts that are out, by message and attempt. */
     private final Map<Out, Endpoints.Call> calls = new HashMap<>();
+    /** Calls that the module has decided in this turn: they are made when its ends are on their way. */
+    private final List<Decided> decided = new ArrayList<>();
     private final Relay relay;
+    private final Admission admission;
+    private final Trace trace = TRACED ? new Trace(System.err) : null;
+    private Recovery recovery;
     private Journal journal;
     private Endpoints endpoints;
     private Notices notices;
@@ -83,14 +97,23 @@
     private boolean turnOpen;
     private double clock;
     private boolean closing;
-    /** A list is known and the journal is replayed. */
+    /** A list is known, and what the journal held is back. */
     private boolean ready;
 
     private record Out(long message, int attempt) {
     }
 
+    private record Decided(Held held, int attempt, long endpoint, double timeoutMs) {
+    }
+
     Sender(Config config, long takingMs, long closingMs) {
+        this(config, takingMs, closingMs, LifeClock.system());
+    }
+
+    Sender(Config config, long takingMs, long closingMs, LifeClock life) {
         this.config = config;
+        this.life = life;
+        this.admission = new Admission(config.maxOpen());
         this.takingMs = takingMs;
         this.closingMs = closingMs;
         this.relay = Relay.create(config.settings(), config.seed(), this);
@@ -113,16 +136,25 @@
         }
     }
 
-    /** Replays the journal and begins to serve; returns the address when clients can connect to it. */
+    /**
+     * Ends what an earlier life left overdue, begins to serve, and goes on with the rest; returns the address
+     * when clients can connect to it.
+     */
     InetSocketAddress start() throws IOException {
         loop.submit(this::open).syncUninterruptibly();
+        try {
+            endsOut.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         InetSocketAddress address = intake.listen(config.listen());
         Log.line(config.name() + " listens at " + Endpoints.hostPort(address));
         return address;
     }
 
     private Void open() throws IOException {
-        journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts());
+        journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), life.mark(),
+                FileChannel::open);
         int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
         int mostClients = (int) (sockets * CLIENT_SHARE);
         int mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
@@ -132,7 +164,7 @@
         notices = new Notices(loop, new Agent(loop, agentAddress), this::heard);
         intake = new Intake(loop, mostClients, new Clients());
         discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
-        discovery.start(config.known());
+        recover();
         return null;
     }
 
@@ -159,43 +191,77 @@
         }
     }
 
-    /**
-     * What an earlier life held goes back to the module, with what it did; notices owed go out again. Not
-     * before a list is known: without one the module could only give all of it up.
-     */
-    private void replay() {
-        long wall = System.currentTimeMillis();
-        int resumed = 0;
-        journal.health().forEach((id, health) -> {
-            double now = openTurn();
+    /** What an earlier life held goes back to the module, with what it did and knew. */
+    private void recover() {
+        long wall = life.wallMs();
+        double now = openTurn();
+        ended.putAll(journal.over());
+        for (Map.Entry<String, Journal.Health> known : journal.health().entrySet()) {
+            Journal.Health health = known.getValue();
             double since = now - Math.max(0, wall - health.sinceMs());
-            relay.recalled(now, endpointNumber(id), new Relay.Health(health.state(), since, health.carriedPerMs()));
-        });
-        for (Held held : journal.held()) {
-            int messageClass = config.classes().indexOf(held.messageClass);
-            if (held.over) {
-                notices.owe(held);
-                continue;
+            relay.recalled(now, endpointNumber(known.getKey()),
+                    new Relay.Health(health.state(), since, health.carriedPerMs()));
+        }
+        for (Map.Entry<Journal.PaceOf, Relay.Pace> known : journal.paces().entrySet()) {
+            String route = known.getKey().route();
+            relay.recalled(now, known.getKey().destination(),
+                    route.isEmpty() ? Relay.SHARED : endpointNumber(route), known.getValue());
+        }
+        List<Held> held = new ArrayList<>(journal.held());
+        for (Held h : held) {
+            h.told = true;
+            if (!h.over) {
+                open.put(h.number, h);
+                byId.put(h.id, h);
+                admission.held(now, h.destination);
             }
+        }
+        recovery = new Recovery(loop, life::wallMs, held, h -> {
+            int messageClass = config.classes().indexOf(h.messageClass);
+            return messageClass >= 0 && config.settings().classes().get(messageClass).inOrder();
+        }, new Recovered());
+        recovery.start();
+    }
+
+    /** The steps of a recovery. */
+    private final class Recovered implements Recovery.Steps {
+        @Override
+        public void tell(Held held) {
+            openTurn();
+            notices.owe(held);
+        }
+
+        @Override
+        public void resume(Held held, long leftMs) {
+            int messageClass = config.classes().indexOf(held.messageClass);
+            double now = openTurn();
             if (messageClass < 0) {
                 Log.line("class " + held.messageClass + " is gone; its message is given up");
                 end(held, new Held.Notice(false, 0));
-                continue;
+                return;
             }
-            double now = openTurn();
+            long wall = life.wallMs();
             List<Relay.EarlierAttempt> earlier = new ArrayList<>();
             for (Held.Attempt a : held.attempts) {
                 // A wall clock that was set back must not move a send into the future.
                 double sentAt = now - Math.max(0, wall - a.sentAtMs);
                 earlier.add(new Relay.EarlierAttempt(endpointNumber(a.endpoint), sentAt, !a.neverRan));
             }
-            open.put(held.number, held);
-            byId.put(held.id, held);
-            held.told = true;
-            resumed++;
-            relay.resumed(now, message(held, messageClass, held.deadlineMs - wall), earlier);
+            event(() -> relay.resumed(now, message(held, messageClass, leftMs), earlier));
+        }
+
+        @Override
+        public void endsOut() {
+            discovery.start(config.known());
+            endsOut.countDown();
+        }
+
+        @Override
+        public void done(int resumed) {
+            ready = true;
+            Log.line(config.name() + " is ready, with " + resumed + " messages from its journal, taken up in "
+                    + recovery.turns() + " turns");
         }
-        Log.line(config.name() + " is ready, with " + resumed + " messages from its journal");
     }
 
     private Relay.Message message(Held held, int messageClass, double leftMs) {
@@ -210,13 +276,15 @@
     private double openTurn() {
         if (!turnOpen) {
             turnOpen = true;
-            clock = (System.nanoTime() - startNanos) / 1e6;
+            clock = now();
             loop.execute(this::endTurn);
         }
         return clock;
     }
 
+    /** The module's ends of a turn are on their way before its calls: a late end is a lost message. */
     private void endTurn() {
+        long begun = TRACED ? traced(Trace.Part.MODULE) : 0;
         try {
             relay.endTurn(clock);
         } catch (RuntimeException e) {
@@ -224,6 +292,34 @@
         } finally {
             turnOpen = false;
         }
+        if (TRACED) {
+            trace.leave();
+            trace.enter(Trace.Part.NOTICES);
+        }
+        notices.flush();
+        if (TRACED) {
+            trace.leave();
+            trace.enter(Trace.Part.CALLS);
+        }
+        makeCalls();
+        if (TRACED) {
+            trace.leave();
+            trace.turn(System.nanoTime() - begun);
+        }
+    }
+
+    private long traced(Trace.Part part) {
+        trace.enter(part);
+        return System.nanoTime();
+    }
+
+    private void makeCalls() {
+        long decidedNanos = startNanos + (long) (clock * 1e6);
+        for (Decided d : decided) {
+            calls.put(new Out(d.held.number, d.attempt),
+                    endpoints.call(d.held, d.attempt, d.endpoint, d.timeoutMs, decidedNanos));
+        }
+        decided.clear();
     }
 
     /** A fault in one message's handling must not take the others down with the process. */
@@ -231,6 +327,10 @@
         Log.line("fault in the module: " + e + " at " + List.of(e.getStackTrace()).stream().limit(5).toList());
     }
 
+    private double now() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
     private void event(Runnable told) {
         try {
             told.run();
@@ -245,22 +345,23 @@
     public void send(long message, long endpoint, double timeoutMs) {
         Held held = open.get(message);
         int number = held.attempts.size();
-        Held.Attempt attempt = new Held.Attempt(endpointIds.get(endpoint), System.currentTimeMillis());
+        Held.Attempt attempt = new Held.Attempt(endpointIds.get(endpoint), life.wallMs());
         try {
             journal.attempt(held, attempt);
         } catch (IOException e) {
             // Unrecorded it could run twice: it is not made.
             Log.line("no attempt without the journal: " + e.getMessage());
+            attempt.neverRan = true;
             held.attempts.add(attempt);
             loop.execute(() -> attemptEnded(held, number, Relay.Outcome.NOT_SENT, false, 0, 0, 0));
             return;
         }
-        calls.put(new Out(message, number),
-                endpoints.call(held, number, endpoint, timeoutMs, startNanos + (long) (clock * 1e6)));
+        decided.add(new Decided(held, number, endpoint, timeoutMs));
     }
 
     @Override
     public void cancel(long message, int attempt) {
+        makeCalls();
         Endpoints.Call call = calls.get(new Out(message, attempt));
         if (call != null) {
             endpoints.cancel(call);
@@ -285,7 +386,14 @@
     @Override
     public void wakeAt(double time) {
         long nanos = (long) (time * 1e6) - (System.nanoTime() - startNanos);
-        loop.schedule(() -> event(() -> relay.wake(openTurn())), Math.max(0, nanos), TimeUnit.NANOSECONDS);
+        loop.schedule(() -> {
+            double now = openTurn();
+            admission.late(now, now - time);
+            if (TRACED) {
+                trace.late(now - time);
+            }
+            event(() -> relay.wake(now));
+        }, Math.max(0, nanos), TimeUnit.NANOSECONDS);
     }
 
     @Override
@@ -296,10 +404,21 @@
     @Override
     public void remember(long endpoint, Relay.Health health) {
         long ago = (long) (clock - health.since());
-        remember(endpointIds.get(endpoint), new Journal.Health(health.state(), System.currentTimeMillis() - ago,
+        remember(endpointIds.get(endpoint), new Journal.Health(health.state(), life.wallMs() - ago,
                 health.carriedPerMs()));
     }
 
+    @Override
+    public void remember(long destination, long route, Relay.Pace pace) {
+        try {
+            journal.pace(new Journal.PaceOf(destination, route == Relay.SHARED ? "" : endpointIds.get(route)),
+                    pace);
+        } catch (IOException e) {
+            // A later life then begins with an older one, or finds it out anew.
+            Log.line("a pace is not in the journal: " + e.getMessage());
+        }
+    }
+
     private void remember(String endpoint, Journal.Health health) {
         try {
             journal.health(endpoint, health);
@@ -310,7 +429,11 @@
     }
 
     private void end(Held held, Held.Notice notice) {
-        over(held);
+        over(held, false);
+        if (TRACED && life.wallMs() - held.deadlineMs > LATE_END_MS) {
+            trace.lateEnd(held.id, life.wallMs() - held.takenMs, life.wallMs() - held.deadlineMs,
+                    held.attempts.size(), ready ? "in service" : "in recovery");
+        }
         ended.put(held.id, false);
         try {
             journal.owed(held, notice);
@@ -334,7 +457,7 @@
             double toldRate, double took) {
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
-                over(held);
+                over(held, true);
                 ended.put(held.id, true);
                 journal.ended(held);
             } else if (!held.over && !outcome.mayHaveRun()) {
@@ -349,10 +472,11 @@
                 finished, waitMs, toldRate)));
     }
 
-    private void over(Held held) {
+    private void over(Held held, boolean delivered) {
         held.over = true;
         open.remove(held.number);
         byId.remove(held.id);
+        admission.ended(now(), held.destination, delivered);
     }
 
     private void heard(Held held) {
@@ -375,17 +499,21 @@
         }
         forgetGone(whole, entries);
         event(() -> relay.endpoints(openTurn(), whole, list));
-        if (!ready) {
-            ready = true;
-            event(this::replay);
-        }
+        recovery.listKnown(discovery.fresh());
     }
 
     /** Later than the module does, lest it name one that is no longer known here. */
     private void forgetGone(boolean whole, List<Discovery.Entry> entries) {
         long now = System.nanoTime();
         if (whole) {
-            endpointNumbers.keySet().forEach(id -> goneSince.putIfAbsent(id, now));
+            Set<String> named = new HashSet<>();
+            entries.forEach(e -> named.add(e.id()));
+            endpointNumbers.forEach((id, number) -> {
+                goneSince.putIfAbsent(id, now);
+                if (!named.contains(id)) {
+                    endpoints.stop(number);
+                }
+            });
         }
         for (Discovery.Entry e : entries) {
             if (e.gone()) {
@@ -455,24 +583,29 @@
         }
 
         @Override
-        public Optional<Held> take(Intake.Submission s) {
-            if (!ready || open.size() >= config.maxOpen()) {
-                return Optional.empty();
+        public Intake.Taking take(Intake.Submission s) {
+            if (!ready) {
+                return Intake.Taking.refused("not ready yet", 0);
             }
             double mostMs = config.settings().classes().get(config.classes().indexOf(s.messageClass()))
                     .deadlineMs();
             long leftMs = (long) Math.min(s.budgetMs(), mostMs);
             leftMs -= Math.min(UNREAD_MS, leftMs / 2);
+            Admission.Verdict verdict = admission.admit(now(), s.destination(), leftMs, open.size());
+            if (!verdict.taken()) {
+                return Intake.Taking.refused(verdict.reason(), verdict.waitMs());
+            }
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
-                    s.destination(), System.currentTimeMillis() + leftMs, s.body());
+                    s.destination(), life.wallMs() + leftMs, s.body());
             try {
                 journal.taken(held);
             } catch (IOException e) {
-                return Optional.empty();
+                return Intake.Taking.refused("no room", 0);
             }
             open.put(held.number, held);
             byId.put(held.id, held);
-            return Optional.of(held);
+            admission.held(now(), held.destination);
+            return Intake.Taking.taken(held);
         }
 
         @Override
@@ -483,12 +616,17 @@
             held.told = heard;
             if (!heard) {
                 // A client that never heard of its being taken is owed nothing, and will come again.
-                over(held);
-                Sender.this.heard(held);
+                over(held, false);
+                try {
+                    journal.withdrawn(held);
+                } catch (IOException e) {
+                    // A later life then ends it by a notice that nobody waits for.
+                    Log.line("a withdrawal is not in the journal: " + e.getMessage());
+                }
                 return;
             }
             int messageClass = config.classes().indexOf(held.messageClass);
-            double left = held.deadlineMs - System.currentTimeMillis();
+            double left = held.deadlineMs - life.wallMs();
             event(() -> relay.message(openTurn(), message(held, messageClass, left)));
         }
     }
--- /dev/null
+++ b/src/main/java/kestreldeal/recovery/Plan.java
@@ -0,0 +1,102 @@
+package kestreldeal.recovery;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * The order in which held messages are taken up again, in slices with the loop free between them, so that no
+ * message hangs on one long turn to be ended.
+ *
+ * <p>First come the notices that an earlier life owed, then the messages whose time is up, then those whose
+ * time is up soon, the next to end first; the rest follow as they were taken. Ends go first because a late end
+ * is a lost message, while a late send is only late. Messages of a class that keeps an order stay in it, since
+ * the decision module lines them up as they come; the end of one that is overdue may come out of turn.
+ */
+public final class Plan {
+    /** Messages of one slice: some milliseconds of work also in the first second of a process. */
+    public static final int SLICE = 64;
+    /** Ends of one slice: no call is made for them, so they cost less. */
+    public static final int ENDS = 256;
+    /** What has less time left than this goes before the rest: a start may take as long before it is sent. */
+    public static final long SOON_MS = 1500;
+
+    /** What a held message waits for. */
+    public enum Step {
+        /** Its end is decided, the platform has still to hear of it. */
+        TELL,
+        /** Its time is up: an end has to be decided. */
+        END,
+        /** It may still be delivered. */
+        RESUME
+    }
+
+    /**
+     * A held message; {@code leftMs} until its time is up, negative where it is; {@code owed}: its end is
+     * decided; {@code inOrder}: its class keeps an order.
+     */
+    public record Item(long number, long leftMs, boolean owed, boolean inOrder) {
+    }
+
+    /** Messages that are taken up in one turn, in this order. */
+    public record Slice(Step step, List<Long> numbers) {
+        /** Keeps a copy. */
+        public Slice {
+            numbers = List.copyOf(numbers);
+        }
+    }
+
+    private final Deque<Slice> slices = new ArrayDeque<>();
+
+    /** Plans these messages, which come in the order taken. */
+    public Plan(Collection<Item> held) {
+        List<Item> tell = new ArrayList<>();
+        List<Item> end = new ArrayList<>();
+        List<Item> soon = new ArrayList<>();
+        List<Item> rest = new ArrayList<>();
+        for (Item item : held) {
+            if (item.owed()) {
+                tell.add(item);
+            } else if (item.leftMs() <= 0) {
+                end.add(item);
+            } else if (item.leftMs() < SOON_MS && !item.inOrder()) {
+                soon.add(item);
+            } else {
+                rest.add(item);
+            }
+        }
+        soon.sort(Comparator.comparingLong(Item::leftMs));
+        soon.addAll(rest);
+        cut(Step.TELL, tell, ENDS);
+        cut(Step.END, end, ENDS);
+        cut(Step.RESUME, soon, SLICE);
+    }
+
+    private void cut(Step step, List<Item> items, int most) {
+        for (int from = 0; from < items.size(); from += most) {
+            List<Long> numbers = new ArrayList<>();
+            for (Item item : items.subList(from, Math.min(from + most, items.size()))) {
+                numbers.add(item.number());
+            }
+            slices.add(new Slice(step, numbers));
+        }
+    }
+
+    /** Slices that are still to come. */
+    public int left() {
+        return slices.size();
+    }
+
+    /** Whether an end is among what is still to come: nothing is to be sent before these are out. */
+    public boolean endsLeft() {
+        return !slices.isEmpty() && slices.peek().step() != Step.RESUME;
+    }
+
+    /** What the next turn takes up; there must be something left. */
+    public Slice next() {
+        return slices.remove();
+    }
+}
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -57,8 +57,8 @@
         }
 
         @Override
-        public Optional<Held> take(Intake.Submission submission) {
-            return Optional.empty();
+        public Intake.Taking take(Intake.Submission submission) {
+            return Intake.Taking.refused("no room", 0);
         }
 
         @Override
@@ -101,9 +101,9 @@
         }
 
         @Override
-        public Optional<Held> take(Intake.Submission submission) {
+        public Intake.Taking take(Intake.Submission submission) {
             asked.add(submission.id());
-            return Optional.empty();
+            return Intake.Taking.refused("no room", 0);
         }
 
         @Override
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -21,6 +21,8 @@
 
 class JournalTest {
     private static final long DISK = 200_000;
+    /** What a life begins with: the record of its clock. */
+    private static final int OPENED = 12 + 1 + 3 * 8;
 
     @TempDir
     private Path folder;
@@ -96,7 +98,8 @@
         }
         Path file = folder.resolve("journal");
         byte[] whole = Files.readAllBytes(file);
-        for (int cut = whole.length - 1; cut > whole.length / 2; cut -= 7) {
+        int first = (whole.length - OPENED) / 2 + OPENED;
+        for (int cut = whole.length - 1; cut > first; cut -= 7) {
             Files.write(file, java.util.Arrays.copyOf(whole, cut));
             try (Journal journal = open()) {
                 assertEquals(1, journal.held().size());
@@ -113,18 +116,88 @@
         }
     }
 
+    /** Each bit of a recorded journal in turn: nothing that it held is harmed. */
     @Test
-    void aChangedByteEndsTheReplay() throws Exception {
+    void aWrongBitAnywhereIsMended() throws Exception {
+        byte[] whole = recorded();
+        Path file = folder.resolve("journal");
+        String held = described(whole);
+        for (int bit = 0; bit < whole.length * 8; bit++) {
+            byte[] bytes = whole.clone();
+            bytes[bit / 8] ^= (byte) (1 << bit % 8);
+            assertEquals(held, described(bytes), "bit " + bit);
+        }
+        assertTrue(Files.size(file) > 0);
+    }
+
+    /** Bytes in a row are lost: what is behind them is found again, and what was held before may have run. */
+    @Test
+    void whatLiesBehindADamagedStretchIsFoundAndCountsAsMayHaveRun() throws Exception {
+        Held before;
+        Held behind;
+        long damagedFrom;
         try (Journal journal = open()) {
-            journal.taken(held(journal, 10));
-            journal.taken(held(journal, 10));
+            before = held(journal, 20);
+            journal.taken(before);
+            damagedFrom = journal.size();
+            journal.attempt(before, new Held.Attempt("s-1", 5000));
+            journal.taken(held(journal, 20));
+            behind = held(journal, 20);
+            journal.taken(behind);
         }
         Path file = folder.resolve("journal");
         byte[] bytes = Files.readAllBytes(file);
-        bytes[bytes.length - 2] ^= 1;
+        for (int i = 0; i < 24; i++) {
+            bytes[(int) damagedFrom + 6 + i] ^= 0x5a;
+        }
         Files.write(file, bytes);
         try (Journal journal = open()) {
-            assertEquals(1, journal.held().size());
+            List<Held> held = List.copyOf(journal.held());
+            assertEquals(before.id, held.get(0).id);
+            assertEquals(1, held.get(0).attempts.size(), "its attempt can't be read, but one may have run");
+            assertTrue(held.stream().anyMatch(h -> h.id.equals(behind.id)), "what lies behind is not lost");
+            assertEquals(List.of(), held.get(held.size() - 1).attempts, "it was taken after the damage");
+        }
+    }
+
+    /** A few messages in all their states, as bytes. */
+    private byte[] recorded() throws IOException {
+        try (Journal journal = open()) {
+            for (int i = 0; i < 6; i++) {
+                Held h = held(journal, 3 + i);
+                journal.taken(h);
+                if (i > 0) {
+                    journal.attempt(h, new Held.Attempt("s-1", 100));
+                }
+                if (i == 2) {
+                    journal.neverRan(h, 0);
+                }
+                if (i == 3) {
+                    journal.owed(h, new Held.Notice(true, 500));
+                }
+                if (i == 4) {
+                    journal.ended(h);
+                }
+                if (i == 5) {
+                    journal.withdrawn(h);
+                }
+            }
+            journal.health("s-1", new Journal.Health(Relay.State.DOWN, 100, 0.5));
+            journal.pace(new Journal.PaceOf(7, ""), new Relay.Pace(0.5, 0.7, 0));
+        }
+        return Files.readAllBytes(folder.resolve("journal"));
+    }
+
+    private String described(byte[] bytes) throws IOException {
+        Files.write(folder.resolve("journal"), bytes);
+        try (Journal journal = open()) {
+            StringBuilder all = new StringBuilder();
+            for (Held h : journal.held()) {
+                all.append(h.id).append(' ').append(h.deadlineMs).append(' ').append(h.body.length).append(' ');
+                h.attempts.forEach(a -> all.append(a.endpoint).append(a.neverRan).append(' '));
+                all.append(h.owed).append('\n');
+            }
+            return all.append(journal.health()).append(journal.paces()).append(journal.over()).toString();
         }
     }
 
@@ -194,7 +267,7 @@
         Files.write(folder.resolve("journal.next"), new byte[5000]);
         try (Journal journal = open()) {
             assertTrue(Files.notExists(folder.resolve("journal.next")));
-            assertEquals(0, journal.size());
+            assertEquals(OPENED, journal.size());
         }
     }
 }
