Requests are decoded in slices; linking and reflection off the start's path; a rehearsal

Need: a start costs 1.3 s of CPU beyond the steady load, and in that time one round of the loop could be seconds long.

Seen with the trace at 0.17 of a core: of a second's CPU in the first seconds 45 % is C1, 45 % the clients' sockets (accepting, decoding), under 10 % the module, calls and notices together. The log of class loading showed method handles being spun for the hash of a record (about 90 ms), for the proxy of the signal handler, for constructors called by reflection, and a search for two logging libraries that are not there.

Change: what a client has sent is queued as bytes, and 16 reads are decoded in a turn, with the sockets, due ends and notices in between; what a client that has left had sent is dropped unread. A plain key for calls, java.lang.reflect's proxy, channel factories, a named logger. Before it listens, a sender plays 200 messages through its client side, a module and the calls' side in memory (4 s at most, 0.3 s where messages are held). A sender that is late takes nothing on that has under 0.3 s left.

--- a/src/main/java/kestreldeal/admission/Admission.java
+++ b/src/main/java/kestreldeal/admission/Admission.java
@@ -19,6 +19,10 @@
 public final class Admission {
     /** A client waits 400 ms for its answer: a loop that is later than this has more work than it can do. */
     static final double LATE_MS = 300;
+    /** What is a little late by chance is not behind. */
+    static final double NOTICED_MS = 50;
+    /** A loop that is late takes nothing on that has less time left. */
+    static final double LEAST_LEFT_MS = 300;
     /** Lateness is believed for so long: it is seen only now and then. */
     static final double LATE_MEMORY_MS = 500;
     /** A destination with fewer waiting messages is never refused: too little to measure by. */
@@ -51,7 +55,7 @@
         if (held >= mostHeld) {
             return refused("as many messages are held as may be", waitFor(now, held - mostHeld + 1));
         }
-        if (now - lateAt < LATE_MEMORY_MS && late >= LATE_MS) {
+        if (isLate(now) && (late >= LATE_MS || leftMs < LEAST_LEFT_MS)) {
             return refused("the sender is behind", late);
         }
         Work work = works.get(destination);
@@ -78,6 +82,14 @@
         return rate > 0 ? ends / rate : 0;
     }
 
+    /**
+     * Whether something due was done noticeably late a moment ago: then a request may have stood unread for long,
+     * and one with little time left may be over before its end can be told.
+     */
+    public boolean isLate(double now) {
+        return now - lateAt < LATE_MEMORY_MS && late >= NOTICED_MS;
+    }
+
     /** A message for this destination is held from now on. */
     public void held(double now, long destination) {
         Work work = works.computeIfAbsent(destination, d -> new Work());
--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/kestreldeal/net/Agent.java
@@ -63,7 +63,7 @@
     Agent(EventLoop loop, InetSocketAddress address) {
         this.loop = loop;
         this.address = address;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -78,20 +79,44 @@
         this.ends = ends;
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
         this.mostIdle = mostIdle;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        Connection connection = new Connection(channel);
-                        channel.pipeline().addLast(new FirstLine(connection), connection.answers,
-                                new HttpRequestEncoder(), connection);
+                        handle(channel);
                     }
                 });
+    }
+
+    private Connection handle(Channel channel) {
+        Connection connection = new Connection(channel);
+        channel.pipeline().addLast(new FirstLine(connection), connection.answers, new HttpRequestEncoder(),
+                connection);
+        return connection;
+    }
+
+    /** Closes idle connections in time, from now on. */
+    void start() {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** A call of this message, with this answer, on a connection in memory: all but the socket. */
+    void rehearse(Held held, byte[] answer) {
+        Peer peer = new Peer();
+        peer.address = InetSocketAddress.createUnresolved("rehearsal", 1);
+        Call call = new Call(held, 0, peer, 1000);
+        call.timer = loop.schedule(call::timedOut, 1, TimeUnit.SECONDS);
+        EmbeddedChannel memory = new EmbeddedChannel();
+        Connection connection = handle(memory);
+        connection.peer = peer;
+        connection.address = peer.address;
+        call.write(connection);
+        memory.writeInbound(Unpooled.wrappedBuffer(answer));
+        memory.finishAndReleaseAll();
+    }
+
     /** An endpoint is at this address from now on; connections to another one are of no more use. */
     void at(long endpoint, InetSocketAddress address, boolean serving) {
         Peer peer = peers.computeIfAbsent(endpoint, e -> new Peer());
--- a/src/main/java/kestreldeal/net/Hangup.java
+++ b/src/main/java/kestreldeal/net/Hangup.java
@@ -1,9 +1,6 @@
 package kestreldeal.net;
 
-import java.lang.invoke.MethodHandle;
-import java.lang.invoke.MethodHandleProxies;
-import java.lang.invoke.MethodHandles;
-import java.lang.invoke.MethodType;
+import java.lang.reflect.Proxy;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -22,14 +19,18 @@
             daemon.setDaemon(true);
             return daemon;
         });
-        Runnable handed = () -> thread.execute(told);
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            MethodHandle run = MethodHandles.lookup()
-                    .findVirtual(Runnable.class, "run", MethodType.methodType(void.class)).bindTo(handed);
-            Object proxy = MethodHandleProxies.asInterfaceInstance(handler,
-                    MethodHandles.dropArguments(run, 0, signal));
+            Object proxy = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, args) -> {
+                        if (method.getName().equals("handle")) {
+                            thread.execute(told);
+                            return null;
+                        }
+                        // The JDK keeps handlers in a table.
+                        return method.getName().equals("equals") ? (Object) (self == args[0]) : handler.hashCode();
+                    });
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
@@ -31,6 +32,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -69,10 +71,12 @@
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
     /**
-     * Requests that are taken in one turn. Guards against a crowd whose requests would hold up what is due: the
+     * Reads that are looked at in one turn. Guards against a crowd whose requests would hold up what is due: the
      * turn's ends, notices and calls go out before the next ones are looked at.
      */
-    private static final int TAKEN_IN_TURN = 32;
+    private static final int TAKEN_IN_TURN = 16;
+    /** Most bytes of one read: what a client has sent at once is a piece of work too. */
+    private static final int LONGEST_READ = 16 * 1024;
 
     /** What a request asks to be delivered. */
     record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
@@ -121,12 +125,12 @@
     /** The connections in each state, those that are in it longest first. */
     private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
     private final ServerBootstrap bootstrap;
-    /** Requests that were read and not looked at yet. */
+    /** What was read and not looked at yet. */
     private final Deque<Pending> pending = new ArrayDeque<>();
     private Channel listener;
     private boolean closing;
 
-    private record Pending(Client client, FullHttpRequest request) {
+    private record Pending(Client client, ChannelHandlerContext ctx, Object bytes) {
     }
 
     Intake(EventLoop loop, int mostClients, Desk desk) {
@@ -137,26 +141,42 @@
             clients.put(state, new LinkedHashSet<>());
         }
         bootstrap = new ServerBootstrap().group(loop, loop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Reads until nothing is left, so that a close behind a request is seen with it.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS))
+                        new AdaptiveRecvByteBufAllocator(64, 2048, LONGEST_READ).respectMaybeMoreData(false).maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        Client client = new Client(channel);
-                        channel.pipeline().addLast(client.requests, new HttpResponseEncoder(), new Framing(),
-                                new Bodies(client), client);
+                        handle(channel);
                     }
                 });
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void handle(Channel channel) {
+        Client client = new Client(channel);
+        channel.pipeline().addLast(client.requests, new HttpResponseEncoder(), new Framing(), new Bodies(client),
+                client);
+    }
+
+    /** Answers these bytes as a client's on a connection in memory: the way of every request, with no socket. */
+    void rehearse(byte[] requests) {
+        EmbeddedChannel memory = new EmbeddedChannel();
+        handle(memory);
+        memory.pipeline().fireChannelActive();
+        memory.writeInbound(Unpooled.wrappedBuffer(requests));
+        while (!pending.isEmpty()) {
+            takeSome();
+        }
+        memory.finishAndReleaseAll();
     }
 
     /** Begins to listen, and waits until it does: so it is not called on the loop. */
     InetSocketAddress listen(InetSocketAddress address) {
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         listener = bootstrap.bind(address).syncUninterruptibly().channel();
         return (InetSocketAddress) listener.localAddress();
     }
@@ -170,24 +190,35 @@
         listener.close();
     }
 
-    private void await(Client client, FullHttpRequest request) {
-        pending.add(new Pending(client, request.retain()));
+    private void await(Pending read) {
+        pending.add(read);
         if (pending.size() == 1) {
             loop.execute(this::takeSome);
         }
     }
 
+    /**
+     * Looks at what was read first. What a client has sent that has left by now is dropped unread: it has given
+     * up waiting and hands its message in again, under another id. Guards against a jam that feeds itself:
+     * whatever makes requests stand unread, each would cost all the work of a delivery that counts for nothing,
+     * and come again. It does harm to a client that ends its sending and still waits for the answer, which HTTP
+     * clients don't do.
+     */
     private void takeSome() {
         for (int i = 0; i < TAKEN_IN_TURN && !pending.isEmpty(); i++) {
             Pending first = pending.peek();
             try {
-                first.client.take(first.request);
-            } catch (RuntimeException e) {
+                if (first.client.channel.isActive()) {
+                    first.client.requests.decode(first.ctx, first.bytes);
+                } else {
+                    ReferenceCountUtil.release(first.bytes);
+                }
+            } catch (Exception e) {
                 // A fault over one request must not leave those behind it unanswered.
                 Log.line("a request failed: " + e);
                 first.client.channel.close();
             } finally {
-                first.request.release();
+                first.client.unread--;
                 pending.remove();
             }
         }
@@ -228,7 +259,7 @@
     }
 
     /** Netty's decoder, which tells of first bytes and of what lies behind a whole request. */
-    private static final class Requests extends HttpRequestDecoder {
+    private final class Requests extends HttpRequestDecoder {
         private final Client client;
 
         Requests(Client client) {
@@ -238,6 +269,11 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
             client.begun();
+            client.unread++;
+            await(new Pending(client, ctx, bytes));
+        }
+
+        void decode(ChannelHandlerContext ctx, Object bytes) throws Exception {
             super.channelRead(ctx, bytes);
         }
 
@@ -296,6 +332,8 @@
         private long since = System.nanoTime();
         /** A first byte has come of the request that is awaited. */
         private boolean begun;
+        /** Reads that were not looked at yet: there may be a whole request in them. */
+        private int unread;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -305,7 +343,8 @@
         public void channelActive(ChannelHandlerContext ctx) {
             clients.get(state).add(this);
             if (clients() > mostClients) {
-                clients.values().stream().flatMap(Set::stream).filter(c -> c != this).findFirst().orElse(this)
+                clients.values().stream().flatMap(Set::stream).filter(c -> c != this && c.unread == 0)
+                        .findFirst().orElse(this)
                         .makeRoom();
             }
         }
@@ -329,7 +368,7 @@
             since = System.nanoTime();
         }
 
-        /** Bytes have come: the time of a request runs from its first. */
+        /** Bytes have come: the time of a request runs from its first, and it is not to make room for others. */
         private void begun() {
             begun = true;
             if (state == State.IDLE) {
@@ -338,6 +377,10 @@
         }
 
         private void outOfTime() {
+            if (unread > 0) {
+                // The sender is late, not the client.
+                return;
+            }
             if (begun && state != State.ENDING) {
                 last(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
             } else {
@@ -361,22 +404,6 @@
                 return;
             }
             begun = requests.holdsMore();
-            // Not to make room for others before it is answered.
-            enter(State.ASKING);
-            await(this, request);
-        }
-
-        /**
-         * Answers a request once its connection was read to the end, unless its client has left meanwhile: that
-         * one has given up waiting and hands its message in again, under another id. Guards against a jam that
-         * feeds itself: whatever makes requests stand unread, each would cost all the work of a delivery that
-         * counts for nothing, and come again. It does harm to a client that ends its sending and still waits
-         * for the answer, which HTTP clients don't do.
-         */
-        private void take(FullHttpRequest request) {
-            if (state == State.ENDING || !channel.isActive()) {
-                return;
-            }
             enter(begun ? State.ASKING : State.IDLE);
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
--- /dev/null
+++ b/src/main/java/kestreldeal/net/Rehearsal.java
@@ -0,0 +1,156 @@
+package kestreldeal.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import kestreldeal.Relay;
+
+/**
+ * Messages that nobody sent, through the client side, a decision module and the calls' side of their own, in memory, before the
+ * sender listens. What runs for the first time in a process runs slowly and is compiled after some two hundred
+ * calls; that takes about a second of CPU, which is better spent while nobody waits than in the first seconds
+ * under load, when requests stand unread and ends come late. Nothing of it reaches a socket, the journal, or the
+ * state of the sender. In slices, with the loop free between them, and for a bounded time.
+ */
+final class Rehearsal {
+    /** Calls after which most of the way is compiled. */
+    static final int MESSAGES = 200;
+    private static final int SLICE = 8;
+    private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nX-Load-Report: TEXT x0=0.5, x1=20\r\n"
+            + "Content-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.US_ASCII);
+
+    private final EventLoop loop;
+    private final long mostNanos;
+    private final Runnable then;
+    private final long begun = System.nanoTime();
+    private final Relay.Settings settings;
+    private final Intake intake;
+    private final Endpoints endpoints;
+    private final Held held;
+    private final Stage stage = new Stage();
+    private final Relay relay;
+    private final byte[] request;
+    private int played;
+
+    /** For so many milliseconds at most; then the sender listens, by {@code then}. */
+    Rehearsal(EventLoop loop, Config config, long mostMs, Runnable then) {
+        this.loop = loop;
+        this.mostNanos = TimeUnit.MILLISECONDS.toNanos(mostMs);
+        this.then = then;
+        this.settings = config.settings();
+        this.intake = new Intake(loop, Integer.MAX_VALUE, stage);
+        this.endpoints = new Endpoints(loop, 1000, 1000, 0, (call, outcome, gone, waitMs, toldRate) -> { });
+        this.held = new Held(0, "0123456789abcdef", "rehearsal", "", Optional.of("0123456789abcdef"), 1, 0,
+                new byte[2]);
+        this.relay = Relay.create(settings, 0, stage);
+        String path = config.classes().get(0);
+        this.request = ("POST /" + path + " HTTP/1.1\r\nHost: rehearsal\r\nX-Call-Id: 0123456789abcdef\r\n"
+                + "X-Call-Class: " + path + "\r\nX-Caller: x\r\nX-Budget-Ms: 1000\r\n"
+                + "Idempotency-Key: 0123456789abcdef0123456789abcdef\r\nX-Envelope: dest=1\r\n"
+                + "Content-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.US_ASCII);
+        relay.endpoints(0, true, List.of(new Relay.Endpoint(1, 1, 0, 0, true, 0, false),
+                new Relay.Endpoint(2, 1, 0, 0, true, 0, false)));
+    }
+
+    /** Plays the next slice, and the others after it. */
+    void play() {
+        if (played >= MESSAGES || System.nanoTime() - begun >= mostNanos) {
+            then.run();
+            return;
+        }
+        for (int i = 0; i < SLICE; i++) {
+            played++;
+            intake.rehearse(request);
+            decide();
+            endpoints.rehearse(held, ANSWER);
+        }
+        loop.schedule(this::play, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void decide() {
+        double now = played * 100.0;
+        relay.message(now, new Relay.Message(played, 0, 0, Optional.empty(), settings.classes().get(0).deadlineMs(),
+                1));
+        relay.endTurn(now);
+        if (stage.sent == played) {
+            relay.attemptEnded(now + 50, new Relay.AttemptEnd(played, 0, Relay.Outcome.DELIVERED, 50, true, 0, 0));
+            relay.endTurn(now + 50);
+        }
+    }
+
+    /** A desk that takes nothing on, and a module's world in which every send arrives. */
+    private static final class Stage implements Intake.Desk, Relay.Actions {
+        private long sent;
+
+        @Override
+        public boolean ready() {
+            return false;
+        }
+
+        @Override
+        public boolean knowsClass(String name) {
+            return true;
+        }
+
+        @Override
+        public boolean knowsTenant(String name) {
+            return true;
+        }
+
+        @Override
+        public boolean needsKey(String messageClass) {
+            return true;
+        }
+
+        @Override
+        public boolean knowsDestination(long destination) {
+            return true;
+        }
+
+        @Override
+        public Optional<HttpResponseStatus> answeredBefore(String id) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Intake.Taking take(Intake.Submission submission) {
+            return Intake.Taking.refused("rehearsal", 0);
+        }
+
+        @Override
+        public void answered(Held held, boolean heard) {
+        }
+
+        @Override
+        public void send(long message, long endpoint, double timeoutMs) {
+            sent = message;
+        }
+
+        @Override
+        public void cancel(long message, int attempt) {
+        }
+
+        @Override
+        public void closeIdle(long endpoint) {
+        }
+
+        @Override
+        public void refuse(long message, double waitMs) {
+        }
+
+        @Override
+        public void fail(long message) {
+        }
+
+        @Override
+        public void wakeAt(double time) {
+        }
+
+        @Override
+        public void log(String text) {
+        }
+    }
+}
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -5,6 +5,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.FileChannel;
@@ -49,6 +51,9 @@
     private static final long GONE_MS = 60_000;
     /** A message that is ended so much after it was due is traced: half of what the rules leave. */
     private static final double LATE_END_MS = 150;
+    /** How long a rehearsal may keep the sender from listening: less where messages are held. */
+    private static final long REHEARSE_MS = 4000;
+    private static final long REHEARSE_HELD_MS = 300;
     /** The property that switches the account of the loop's time on: {@code -Dsender.trace=true}. */
     static final boolean TRACED = Boolean.getBoolean("sender.trace");
 
@@ -80,8 +85,8 @@
     };
     /** Destinations that a list has named. */
     private final Set<Long> destinations = new HashSet<>();
-    /** Attempts that are out, by message and attempt. */
-    private final Map<Out, Endpoints.Call> calls = new HashMap<>();
+    /** Attempts that are out, by message and attempt: see {@link #out}. */
+    private final Map<Long, Endpoints.Call> calls = new HashMap<>();
     /** Calls that the module has decided in this turn: they are made when its ends are on their way. */
     private final List<Decided> decided = new ArrayList<>();
     private final Relay relay;
@@ -100,7 +105,9 @@
     /** A list is known, and what the journal held is back. */
     private boolean ready;
 
-    private record Out(long message, int attempt) {
+    /** A key for an attempt. Not a record: linking the hash of one takes 90 ms of CPU at the first call. */
+    private static long out(long message, int attempt) {
+        return message << 16 | attempt;
     }
 
     private record Decided(Held held, int attempt, long endpoint, double timeoutMs) {
@@ -121,6 +128,8 @@
 
     /** Runs a sender until it is told to end; returns the exit code. */
     public static int serve(Map<String, String> env) {
+        // Named, or Netty looks for two other libraries first, which costs 30 ms of a start's CPU.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         try {
             Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS);
             Hangup.handle(() -> sender.reload(env));
@@ -160,6 +169,7 @@
         int mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
                 this::attemptEnded);
+        endpoints.start();
         agentAddress = config.discovery();
         notices = new Notices(loop, new Agent(loop, agentAddress), this::heard);
         intake = new Intake(loop, mostClients, new Clients());
@@ -253,7 +263,7 @@
         @Override
         public void endsOut() {
             discovery.start(config.known());
-            endsOut.countDown();
+            new Rehearsal(loop, config, open.isEmpty() ? REHEARSE_MS : REHEARSE_HELD_MS, endsOut::countDown).play();
         }
 
         @Override
@@ -316,7 +326,7 @@
     private void makeCalls() {
         long decidedNanos = startNanos + (long) (clock * 1e6);
         for (Decided d : decided) {
-            calls.put(new Out(d.held.number, d.attempt),
+            calls.put(out(d.held.number, d.attempt),
                     endpoints.call(d.held, d.attempt, d.endpoint, d.timeoutMs, decidedNanos));
         }
         decided.clear();
@@ -362,7 +372,7 @@
     @Override
     public void cancel(long message, int attempt) {
         makeCalls();
-        Endpoints.Call call = calls.get(new Out(message, attempt));
+        Endpoints.Call call = calls.get(out(message, attempt));
         if (call != null) {
             endpoints.cancel(call);
         }
@@ -448,7 +458,7 @@
 
     private void attemptEnded(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
             double toldRate) {
-        calls.remove(new Out(call.held.number, call.attempt));
+        calls.remove(out(call.held.number, call.attempt));
         double took = (System.nanoTime() - call.startedNanos) / 1e6;
         attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
     }
@@ -590,7 +600,7 @@
             double mostMs = config.settings().classes().get(config.classes().indexOf(s.messageClass()))
                     .deadlineMs();
             long leftMs = (long) Math.min(s.budgetMs(), mostMs);
-            leftMs -= Math.min(UNREAD_MS, leftMs / 2);
+            leftMs -= admission.isLate(now()) ? UNREAD_MS : Math.min(UNREAD_MS, leftMs / 2);
             Admission.Verdict verdict = admission.admit(now(), s.destination(), leftMs, open.size());
             if (!verdict.taken()) {
                 return Intake.Taking.refused(verdict.reason(), verdict.waitMs());
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/kestreldeal/net/JournalTest.java
@@ -6,10 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -100,7 +104,7 @@
         byte[] whole = Files.readAllBytes(file);
         int first = (whole.length - OPENED) / 2 + OPENED;
         for (int cut = whole.length - 1; cut > first; cut -= 7) {
-            Files.write(file, java.util.Arrays.copyOf(whole, cut));
+            Files.write(file, Arrays.copyOf(whole, cut));
             try (Journal journal = open()) {
                 assertEquals(1, journal.held().size());
                 journal.taken(held(journal, 10));
@@ -262,6 +266,169 @@
         }
     }
 
+    private Journal open(long wallMs, long monoMs, long boot) throws IOException {
+        return new Journal(folder, DISK, 12, new LifeClock.Mark(wallMs, monoMs, boot), FileChannel::open);
+    }
+
+    /** Set back by five minutes, then on by ten: in the same boot, times keep their distance. */
+    @Test
+    void aClockThatIsSetBetweenTwoLivesMovesNoTime() throws Exception {
+        try (Journal journal = open(1_000_000, 5000, 9)) {
+            Held h = new Held(journal.nextNumber(), "id", "order", "desk", Optional.of("key"), 7, 1_012_000,
+                    new byte[1]);
+            journal.taken(h);
+            journal.attempt(h, new Held.Attempt("s-1", 1_001_000));
+            journal.health("s-1", new Journal.Health(Relay.State.DOWN, 1_002_000, 0));
+        }
+        long back = -300_000;
+        try (Journal journal = open(1_004_000 + back, 9000, 9)) {
+            Held h = journal.held().iterator().next();
+            assertEquals(1_012_000 + back, h.deadlineMs);
+            assertEquals(1_001_000 + back, h.attempts.get(0).sentAtMs);
+            assertEquals(1_002_000 + back, journal.health().get("s-1").sinceMs());
+            journal.attempt(h, new Held.Attempt("s-2", 1_005_000 + back));
+        }
+        long on = 600_000;
+        try (Journal journal = open(1_007_000 + on, 12_000, 9)) {
+            Held h = journal.held().iterator().next();
+            assertEquals(1_012_000 + on, h.deadlineMs, "each record by the life that wrote it");
+            assertEquals(List.of(1_001_000 + on, 1_005_000 + on),
+                    h.attempts.stream().map(x -> x.sentAtMs).toList());
+        }
+        try (Journal journal = open(2_000_000, 10, 8)) {
+            assertEquals(1_012_000, journal.held().iterator().next().deadlineMs, "another boot: the wall clock");
+        }
+    }
+
+    @Test
+    void idsThatAreOverAndPacesOutlastLivesAndCompactionsWithinTheirPart() throws Exception {
+        Relay.Pace pace = new Relay.Pace(0.25, 0.5, 0.1);
+        Journal.PaceOf shared = new Journal.PaceOf(7, "");
+        try (Journal journal = open()) {
+            journal.pace(shared, new Relay.Pace(1, 1, 0));
+            journal.pace(shared, pace);
+            journal.pace(new Journal.PaceOf(7, "s-1"), pace);
+            journal.pace(new Journal.PaceOf(7, "s-1"), new Relay.Pace(Double.POSITIVE_INFINITY, 0.5, 0));
+            for (int i = 0; i < 3000; i++) {
+                Held h = held(journal, 100);
+                journal.taken(h);
+                if (i % 3 == 0) {
+                    journal.owed(h, new Held.Notice(false, 0));
+                }
+                if (i % 3 == 2) {
+                    journal.withdrawn(h);
+                } else {
+                    journal.ended(h);
+                }
+                assertTrue(journal.size() < DISK);
+            }
+        }
+        try (Journal journal = open()) {
+            assertEquals(Map.of(shared, pace), journal.paces());
+            assertEquals(Boolean.FALSE, journal.over().get("id-2997"));
+            assertEquals(Boolean.TRUE, journal.over().get("id-2998"));
+            assertEquals(null, journal.over().get("id-2999"), "its client never heard of it");
+            assertEquals(null, journal.over().get("id-0"), "only the newest are known");
+            assertTrue(journal.over().size() > 50);
+        }
+    }
+
+    /** A disk that takes so many more bytes, then fails half-way through a write. */
+    private static final class SmallDisk {
+        private long room = Long.MAX_VALUE;
+
+        FileChannel open(Path path, StandardOpenOption... options) throws IOException {
+            FileChannel disk = FileChannel.open(path, options);
+            return new FailingChannel(disk) {
+                @Override
+                public int write(ByteBuffer from) throws IOException {
+                    if (room >= from.remaining()) {
+                        room -= from.remaining();
+                        return disk.write(from);
+                    }
+                    if (room <= 0) {
+                        throw new IOException("No space left on device");
+                    }
+                    ByteBuffer part = from.slice().limit((int) room);
+                    from.position(from.position() + part.remaining());
+                    room = 0;
+                    return disk.write(part);
+                }
+            };
+        }
+    }
+
+    @Test
+    void aWriteThatFailsHalfWayLeavesWhatStandsAndWhatComesLater() throws Exception {
+        for (int room = 0; room < 120; room += 7) {
+            Files.deleteIfExists(folder.resolve("journal"));
+            SmallDisk disk = new SmallDisk();
+            try (Journal journal = new Journal(folder, DISK, 12, new LifeClock.Mark(0, 0, 0), disk::open)) {
+                Held first = held(journal, 10);
+                journal.taken(first);
+                disk.room = room;
+                Held second = held(journal, 200);
+                assertThrows(IOException.class, () -> journal.taken(second));
+                assertThrows(IOException.class, () -> {
+                    for (int i = 0; i < 10; i++) {
+                        journal.attempt(first, new Held.Attempt("s-1", 1));
+                    }
+                });
+                disk.room = Long.MAX_VALUE;
+                journal.taken(held(journal, 10));
+            }
+            try (Journal journal = open()) {
+                assertEquals(List.of("id-0", "id-2"), journal.held().stream().map(h -> h.id).toList(),
+                        "with room for " + room);
+            }
+        }
+    }
+
+    /** At every byte of a recorded journal: what is held is what the whole records before the cut say. */
+    @Test
+    void cutAnywhereTheJournalHoldsWhatWasWritten() throws Exception {
+        List<Long> ends = new ArrayList<>();
+        List<List<String>> states = new ArrayList<>();
+        List<String> now = new ArrayList<>();
+        try (Journal journal = open()) {
+            Random random = new Random(11);
+            List<Held> live = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                ends.add(journal.size());
+                states.add(List.copyOf(now));
+                int step = random.nextInt(live.isEmpty() ? 1 : 4);
+                Held h = step == 0 ? held(journal, random.nextInt(40)) : live.get(random.nextInt(live.size()));
+                if (step == 0) {
+                    journal.taken(h);
+                    live.add(h);
+                    now.add(h.id + " ");
+                } else if (step < 3 && h.attempts.size() < 12) {
+                    journal.attempt(h, new Held.Attempt("s-1", i));
+                    now.set(live.indexOf(h), now.get(live.indexOf(h)) + "a");
+                } else {
+                    journal.ended(h);
+                    now.remove(live.indexOf(h));
+                    live.remove(h);
+                }
+            }
+            ends.add(journal.size());
+            states.add(List.copyOf(now));
+        }
+        Path file = folder.resolve("journal");
+        byte[] whole = Files.readAllBytes(file);
+        int at = 0;
+        for (int cut = OPENED; cut <= whole.length; cut++) {
+            while (at + 1 < ends.size() && ends.get(at + 1) <= cut) {
+                at++;
+            }
+            Files.write(file, Arrays.copyOf(whole, cut));
+            try (Journal journal = open()) {
+                assertEquals(states.get(at), journal.held().stream()
+                        .map(h -> h.id + " " + "a".repeat(h.attempts.size())).toList(), "cut at byte " + cut);
+            }
+        }
+    }
+
     @Test
     void anUnfinishedCompactionIsRemoved() throws Exception {
         Files.write(folder.resolve("journal.next"), new byte[5000]);
