--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -675,6 +675,16 @@
         loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** The thread that owns all of this. */
+    EventLoop loop() {
+        return loop;
+    }
+
+    /** Turns that taking up the journal took. */
+    int recoveryTurns() {
+        return loop.submit(recovery::turns).syncUninterruptibly().getNow();
+    }
+
     /** Lets go of everything at once, as the end of the process would: the journal first. */
     void kill() {
         loop.submit(journal::close).syncUninterruptibly();
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/kestreldeal/net/EndpointsTest.java
@@ -45,6 +45,7 @@
                     told.add(toldRate);
                     ends.add(new End(outcome, gone, waitMs));
                 });
+        endpoints.start();
         at(stub.address());
     }
 
@@ -103,6 +104,24 @@
         assertTrue(end() != null, "it ends at once, not in ten minutes");
     }
 
+    /** Found where sends came 2.10 s after the list had told of a drain: connecting had taken the time. */
+    @Test
+    void aCallWhoseEndpointLeftTheListWhileItWasConnectedIsNotMade() throws Exception {
+        Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), 7, 0, new byte[0]);
+        loop.submit(() -> {
+            endpoints.call(held, 0, 1, LONG_MS, System.nanoTime());
+            endpoints.stop(1);
+        }).get();
+        assertEquals(new End(Outcome.NOT_SENT, false, 0), end());
+        loop.submit(() -> {
+            endpoints.at(1, stub.address(), true);
+            endpoints.call(held, 0, 1, LONG_MS, System.nanoTime());
+            endpoints.at(1, stub.address(), false);
+        }).get();
+        assertEquals(new End(Outcome.NOT_SENT, false, 0), end());
+        assertEquals(List.of(), stub.requests);
+    }
+
     @Test
     void statusesMeanWhatTheTableSays() throws Exception {
         expect(Outcome.ERROR, Stub.status(500, ""));
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -10,16 +10,22 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 import kestreldeal.Relay;
 import org.junit.jupiter.api.AfterEach;
@@ -778,6 +784,221 @@
         assertEquals(1, journalled().get(0).attempts.size());
     }
 
+    // ---- recovery ----
+
+    /** Leaves a journal whose clock read this, with room for as much as a test likes. */
+    private Journal earlier(LifeClock.Mark clock) throws IOException {
+        return new Journal(folder.resolve("state"), 40_000_000, 12, clock, FileChannel::open);
+    }
+
+    private static Held order(Journal journal, String type, long deadlineMs) {
+        long number = journal.nextNumber();
+        return new Held(number, "old-" + number, type, "acme", Optional.of("key-" + number), 7, deadlineMs,
+                "hello".getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private long callsOf(String id) {
+        return calls().stream().filter(c -> c.header("X-Call-Id").equals(id)).count();
+    }
+
+    private long noticesOf(String id) {
+        return notices.stream().filter(n -> n.contains("\"" + id + "\"")).count();
+    }
+
+    @Test
+    void overdueMessagesAreEndedBeforeTheFirstCall() throws Exception {
+        LifeClock clock = LifeClock.system();
+        List<String> overdue = new ArrayList<>();
+        try (Journal journal = earlier(clock.mark())) {
+            for (int i = 0; i < 5000; i++) {
+                Held held = order(journal, "order", clock.wallMs() + (i % 5 < 2 ? -1000 - i : 600_000));
+                journal.taken(held);
+                if (i % 5 < 2) {
+                    overdue.add(held.id);
+                }
+            }
+        }
+        start();
+        Stub.await("a notice for each", () -> notices.size() >= 2000);
+        Stub.await("a call", () -> !calls().isEmpty());
+        long told = agent.requests.stream().filter(r -> r.line().startsWith("POST"))
+                .mapToLong(Stub.Message::atNanos).min().orElseThrow();
+        long called = calls().stream().mapToLong(Stub.Message::atNanos).min().orElseThrow();
+        assertTrue(told < called, "the first notice is out before the first call");
+        // Ends by 256 a turn, the rest by 64.
+        Stub.await("all is back", () -> sender.recoveryTurns() == 8 + 47);
+        Set<String> refs = new HashSet<>();
+        for (String notice : List.copyOf(notices)) {
+            assertTrue(refs.add(notice), "told twice: " + notice);
+        }
+        for (String id : overdue) {
+            assertTrue(refs.contains("{\"ref\":\"" + id + "\",\"result\":\"bounced\"}"), id);
+        }
+        assertEquals(2000, refs.size());
+    }
+
+    /** Cut at a sample of bytes, record ends and others: each message has one end, none runs against its class. */
+    @Test
+    void killedAnywhereEachMessageHasOneEnd() throws Exception {
+        Path file = folder.resolve("state/journal");
+        LifeClock clock = LifeClock.system();
+        List<Long> ends = new ArrayList<>();
+        try (Journal journal = earlier(clock.mark())) {
+            for (int i = 0; i < 120; i++) {
+                Held held = order(journal, i % 2 == 0 ? "order" : "once", clock.wallMs() + 600_000);
+                journal.taken(held);
+                ends.add(journal.size());
+                if (i % 3 > 0) {
+                    journal.attempt(held, new Held.Attempt("s-" + i % 2, clock.wallMs()));
+                    ends.add(journal.size());
+                }
+                if (i % 9 == 1) {
+                    journal.neverRan(held, 0);
+                }
+                if (i % 9 == 2) {
+                    journal.owed(held, new Held.Notice(i % 2 == 0, 0));
+                }
+                if (i % 9 == 4) {
+                    journal.ended(held);
+                }
+                ends.add(journal.size());
+            }
+        }
+        byte[] whole = Files.readAllBytes(file);
+        Random random = new Random(3);
+        for (int sample = 0; sample < 24; sample++) {
+            long boundary = ends.get(random.nextInt(ends.size()));
+            int cut = (int) (sample % 2 == 0 ? boundary : Math.min(whole.length, boundary + 1 + random.nextInt(50)));
+            Files.write(file, Arrays.copyOf(whole, cut));
+            List<Held> held = journalled();
+            notices.clear();
+            endpoints.forEach(e -> e.requests.clear());
+            start();
+            awaitNothingHeld();
+            sender.kill();
+            sender = null;
+            for (Held h : held) {
+                boolean mayHaveRun = h.attempts.stream().anyMatch(a -> !a.neverRan);
+                long expected = h.owed.isPresent() || h.messageClass.equals("once") && mayHaveRun ? 0 : 1;
+                assertEquals(expected, callsOf(h.id), "calls of " + h.id + ", cut at " + cut);
+                assertEquals(1 - expected, noticesOf(h.id), "notices of " + h.id + ", cut at " + cut);
+            }
+            assertEquals(held.size(), calls().size() + notices.size(), "cut at " + cut);
+        }
+    }
+
+    @Test
+    void twoKillsWithinTheRecoveryLoseNothing() throws Exception {
+        LifeClock clock = LifeClock.system();
+        List<Held> all = new ArrayList<>();
+        try (Journal journal = earlier(clock.mark())) {
+            for (int i = 0; i < 300; i++) {
+                Held held = order(journal, i % 2 == 0 ? "order" : "once",
+                        clock.wallMs() + (i % 10 == 0 ? -500 : 600_000));
+                journal.taken(held);
+                all.add(held);
+            }
+        }
+        start();
+        sender.kill();
+        start();
+        Stub.await("it has begun to send", () -> !calls().isEmpty());
+        killAndStart();
+        awaitNothingHeld();
+        for (Held h : all) {
+            long notices = noticesOf(h.id);
+            long calls = callsOf(h.id);
+            assertTrue(calls + notices >= 1, h.id + " has an end");
+            assertTrue(h.messageClass.equals("order") || calls <= 1, h.id + " must not run twice");
+        }
+        assertTrue(all.stream().filter(h -> h.deadlineMs < clock.wallMs()).allMatch(h -> callsOf(h.id) == 0));
+    }
+
+    /** The wall clock goes back by five minutes between two lives: a keyed window that has passed stays passed. */
+    @Test
+    void aClockThatIsSetBackOpensNoWindowAgain() throws Exception {
+        long wall = System.currentTimeMillis();
+        try (Journal journal = earlier(new LifeClock.Mark(wall, 1000, 9))) {
+            Held late = order(journal, "order", wall + 60_000);
+            journal.taken(late);
+            journal.attempt(late, new Held.Attempt("s-0", wall));
+            journal.taken(order(journal, "order", wall + 24_000));
+        }
+        sender = new Sender(config(), Sender.TAKING_MS, Sender.CLOSING_MS,
+                new LifeClock(wall - 300_000 + 25_000, 26_000, 9));
+        address = sender.start();
+        Stub.await("both ends", () -> notices.size() == 2);
+        assertEquals(List.of(), calls(), "one is past its window, the other past its time");
+    }
+
+    /** A handler that holds up the loop for two seconds: what became due is ended, and what came in is answered. */
+    @Test
+    void aLoopThatWasHeldUpEndsWhatIsDueAndRefusesWhatItCannotEnd() throws Exception {
+        script(Stub.silent());
+        start();
+        String soon = message("soon", "order", "hello").replace("X-Budget-Ms: 24000", "X-Budget-Ms: 1000");
+        assertEquals("HTTP/1.1 202 Accepted", ask(client(), soon).line());
+        CountDownLatch held = new CountDownLatch(1);
+        sender.loop().execute(() -> {
+            try {
+                held.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<Socket> crowd = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            Socket socket = client();
+            Stub.write(socket, message("crowd-" + i, "order", "hello"));
+            crowd.add(socket);
+        }
+        long until = System.nanoTime() + 2_000_000_000L;
+        Stub.await("two seconds", () -> System.nanoTime() > until);
+        held.countDown();
+        Stub.await("its notice", () -> noticesOf("soon") == 1);
+        int behind = 0;
+        for (Socket socket : crowd) {
+            Stub.Message answer = Stub.read(new BufferedInputStream(socket.getInputStream()), 0);
+            if (answer.body().contains("behind")) {
+                behind++;
+                assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0);
+            }
+        }
+        assertTrue(behind > 0, "it takes on less while it is late");
+        Stub.await("it takes messages again", () -> {
+            try {
+                return !ask(client(), message("later", "order", "x")).line().contains("503")
+                        || journalled().size() >= MAX_OPEN;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    @Test
+    void anIdThatIsOverIsKnownInTheNextLife() throws Exception {
+        start();
+        handIn("one", "order");
+        awaitNothingHeld();
+        script(Stub.status(500, ""));
+        handIn("two", "once");
+        awaitNotice("{\"ref\":\"two\",\"result\":\"dead\"}");
+        killAndStart();
+        assertEquals("202", ask(client(), message("one", "order", "hello")).line().split(" ")[1]);
+        assertEquals("409", ask(client(), message("two", "order", "hello")).line().split(" ")[1]);
+        assertEquals(2, calls().size());
+    }
+
+    @Test
+    void aPaceGoesOnInTheNextLife() throws Exception {
+        script(Stub.status(503, ""));
+        start();
+        handIn("one", "order");
+        Stub.await("a pace", () -> !journalled(Journal::paces).isEmpty());
+        Relay.Pace pace = journalled(Journal::paces).get(new Journal.PaceOf(7, ""));
+        assertTrue(pace.perMs() > 0 && pace.perMs() < Double.POSITIVE_INFINITY, pace.toString());
+    }
+
     /** The program itself, as a process: SIGKILL loses nothing, and SIGTERM ends it by its own will. */
     @Test
     void theProcessOutlivesItsSignals() throws Exception {
