--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/kestreldeal/Bench.java
@@ -33,6 +33,7 @@
     final List<String> answers = new ArrayList<>();
     final List<Double> wakes = new ArrayList<>();
     final Map<Long, Relay.Health> health = new HashMap<>();
+    final List<Relay.Pace> paces = new ArrayList<>();
     final List<Double> waits = new ArrayList<>();
     final Relay relay;
     Consumer<Sent> onSend = s -> { };
@@ -288,6 +289,11 @@
         });
     }
 
+    @Override
+    public void remember(long destination, long route, Relay.Pace now) {
+        paces.add(now);
+    }
+
     @Override
     public void remember(long endpoint, Relay.Health now) {
         health.put(endpoint, now);
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/kestreldeal/LogicTest.java
@@ -959,4 +959,38 @@
             new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, false, 4000, false),
             new Relay.MessageClass(2000, 16_000, 4, 0.3, Effect.UNSAFE, false, 0, true),
             new Relay.MessageClass(2000, 16_000, 1, 0.5, Effect.KEYED, true, 15_000, false));
+
+    /** Kind 2 has separate routes, so its limit is that of one endpoint. */
+    @Test
+    void aRecalledPaceHoldsFromTheFirstSendOn() {
+        for (boolean route : List.of(false, true)) {
+            Bench b = new Bench();
+            b.relay.recalled(b.now, 1, route ? 10 : Relay.SHARED, new Relay.Pace(0.001, 0.002, 0));
+            b.entry(10, 1, route ? 2 : 0, 0, true);
+            b.takeTogether(6, SAFE, 1);
+            b.until(900);
+            assertTrue(b.sends.size() <= 2, "one a second: " + b.sends);
+            b.until(2500);
+            assertTrue(b.sends.size() >= 2, "it goes on: " + b.sends);
+        }
+        Bench fresh = new Bench().list(1, 10);
+        fresh.takeTogether(6, SAFE, 1);
+        assertTrue(fresh.sends.size() > 3, "without one only slots hold them back: " + fresh.sends);
+    }
+
+    @Test
+    void aPaceIsRememberedWhenItHasChangedByMuch() {
+        Bench b = new Bench().list(1, 10);
+        b.takeTogether(4, SAFE, 1);
+        assertEquals(List.of(), b.paces);
+        b.end(1, 0, Outcome.FULL);
+        assertEquals(1, b.paces.size(), "a first refusal sets it");
+        assertTrue(b.paces.get(0).perMs() < Double.POSITIVE_INFINITY);
+        b.end(2, 0, Outcome.DELIVERED);
+        assertEquals(1, b.paces.size(), "a small step is not worth a record: " + b.paces);
+        b.until(90_000);
+        b.take(9, SAFE, 1);
+        b.until(100_000);
+        assertEquals(Double.POSITIVE_INFINITY, b.paces.get(b.paces.size() - 1).perMs(), "idle, it is forgotten");
+    }
 }
