Idle connections take a share of the clients' room; visitors make room first

Seen by counting connections by state twice a second: while one sender restarts, 128 connections, all that clients may have for requests, stand idle; each was used once and kept. A new one could come only when an old one reached 2.5 s, so that 60 to 70 requests a second were taken of 235. Beside them 600 a second only asked for health and pushed out the connections of those who hand in messages.

Change: of the connections at most 45 % of the clients' part stand between requests; beyond that the longest idle one is closed. One that has handed in no message makes room before those that have, and one that connected a moment ago makes room last of the silent ones. Clients' part is 0.6 of the sockets, not 0.5: calls never came near theirs.

--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -68,6 +68,14 @@
     /** From the answer to what is too long until the close: closing at once could reset it unread. */
     private static final long LINGER_MS = 500;
     private static final long SWEEP_MS = 200;
+    /**
+     * Share of the connections that may stand between requests; beyond it the one that stood longest is closed.
+     * Guards against clients that ask once on each connection and keep it: those who hand in messages have a
+     * bounded number of them, and find none left while we keep all for {@link #IDLE_MS}.
+     */
+    private static final double IDLE_SHARE = 0.45;
+    /** A connection is new for so long: its first request is mostly on its way. */
+    private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
     /**
@@ -239,7 +247,7 @@
             long limitMs = switch (state) {
                 case ENDING -> LINGER_MS;
                 case SILENT, ASKING -> REQUEST_MS;
-                case IDLE -> closing ? Long.MAX_VALUE : IDLE_MS;
+                case VISITING, IDLE -> closing ? Long.MAX_VALUE : IDLE_MS;
             };
             members.stream().takeWhile(c -> TimeUnit.NANOSECONDS.toMillis(now - c.since) >= limitMs).toList()
                     .forEach(Client::outOfTime);
@@ -252,7 +260,9 @@
         ENDING,
         /** Nothing was asked yet, or only in part. */
         SILENT,
-        /** Between requests. */
+        /** Between requests, and none so far handed in a message: it asks for health, or for what is not there. */
+        VISITING,
+        /** Between requests, after a message. */
         IDLE,
         /** A later request has come in part. */
         ASKING
@@ -332,6 +342,8 @@
         private long since = System.nanoTime();
         /** A first byte has come of the request that is awaited. */
         private boolean begun;
+        /** It has handed in a message. */
+        private boolean customer;
         /** Reads that were not looked at yet: there may be a whole request in them. */
         private int unread;
 
@@ -343,12 +355,36 @@
         public void channelActive(ChannelHandlerContext ctx) {
             clients.get(state).add(this);
             if (clients() > mostClients) {
-                clients.values().stream().flatMap(Set::stream).filter(c -> c != this && c.unread == 0)
-                        .findFirst().orElse(this)
-                        .makeRoom();
+                leastWanted().makeRoom();
             }
         }
 
+        /**
+         * The first in the order of the states, the longest in it; but one that connected a moment ago may be
+         * about to ask, so visitors go before it. Guards against crowds that only connect, or only ask for
+         * health: while another sender is away they would push out all who hand in messages, who then connect
+         * again and push out each other.
+         */
+        private Client leastWanted() {
+            long now = System.nanoTime();
+            Client fresh = null;
+            for (Map.Entry<State, Set<Client>> members : clients.entrySet()) {
+                if (fresh != null && members.getKey().compareTo(State.VISITING) > 0) {
+                    return fresh;
+                }
+                for (Client c : members.getValue()) {
+                    if (c == this || c.unread > 0) {
+                        continue;
+                    }
+                    if (members.getKey() != State.SILENT || now - c.since >= FRESH_NANOS) {
+                        return c;
+                    }
+                    fresh = fresh == null ? c : fresh;
+                }
+            }
+            return fresh == null ? this : fresh;
+        }
+
         /** Gone at once: of a crowd that connects in one turn each must find another to take the place of. */
         private void makeRoom() {
             clients.get(state).remove(this);
@@ -366,12 +402,21 @@
             }
             state = next;
             since = System.nanoTime();
+            Set<Client> idle = clients.get(State.IDLE);
+            if (next == State.IDLE && !closing && idle.size() > Math.max(1, IDLE_SHARE * mostClients)) {
+                for (Client longest : idle) {
+                    if (longest != this) {
+                        longest.makeRoom();
+                        break;
+                    }
+                }
+            }
         }
 
         /** Bytes have come: the time of a request runs from its first, and it is not to make room for others. */
         private void begun() {
             begun = true;
-            if (state == State.IDLE) {
+            if (state == State.IDLE || state == State.VISITING) {
                 enter(State.ASKING);
             }
         }
@@ -404,7 +449,7 @@
                 return;
             }
             begun = requests.holdsMore();
-            enter(begun ? State.ASKING : State.IDLE);
+            enter(begun ? State.ASKING : customer ? State.IDLE : State.VISITING);
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
                 last(HttpResponseStatus.BAD_REQUEST, "not HTTP");
@@ -436,6 +481,10 @@
                 end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "no list names this dest");
                 return;
             }
+            customer = true;
+            if (state == State.VISITING) {
+                enter(State.IDLE);
+            }
             Taking taking = desk.take(submission);
             if (taking.held().isPresent()) {
                 Held held = taking.held().get();
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -33,7 +33,7 @@
     /** Descriptors that are neither clients nor calls: the machine's own (30 are seen), the journal, agents. */
     private static final int OTHER_SOCKETS = 48;
     /** Share of the rest for clients, who may hold a third of all for requests; the others are for calls. */
-    private static final double CLIENT_SHARE = 0.5;
+    private static final double CLIENT_SHARE = 0.6;
     /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
     private static final int ENDED_KNOWN = 4096;
     /**
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -184,4 +184,69 @@
             }
         }
     }
+
+    /**
+     * Found in incident r0b62c9: while one sender was away, hundreds a second that only asked for health pushed
+     * out the connections of those who hand in messages.
+     */
+    @Test
+    void visitorsMakeRoomBeforeThoseWhoHandInMessages() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            NotingDesk desk = new NotingDesk();
+            Intake intake = new Intake(group.next(), MOST, desk);
+            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Socket customer = new Socket(address.getAddress(), address.getPort());
+            sockets.add(customer);
+            submit(customer, "first");
+            BufferedInputStream in = new BufferedInputStream(customer.getInputStream());
+            assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
+            for (int i = 0; i < 5 * MOST; i++) {
+                Socket visitor = new Socket(address.getAddress(), address.getPort());
+                sockets.add(visitor);
+                Stub.write(visitor, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+                assertEquals("HTTP/1.1 200 OK", Stub.read(new BufferedInputStream(visitor.getInputStream()), 0).line());
+            }
+            submit(customer, "second");
+            assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
+            assertEquals(List.of("first", "second"), desk.asked);
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Found in incident r0b62c9: with all connections kept by those who ask once, nobody could hand in more. */
+    @Test
+    void ofThoseThatAskOnceTheLongestIdleIsClosed() throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            EventLoop loop = group.next();
+            NotingDesk desk = new NotingDesk();
+            Intake intake = new Intake(loop, MOST, desk);
+            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            for (int i = 0; i < 3 * MOST; i++) {
+                Socket once = new Socket(address.getAddress(), address.getPort());
+                sockets.add(once);
+                submit(once, "id-" + i);
+                assertEquals("HTTP/1.1 503 Service Unavailable",
+                        Stub.read(new BufferedInputStream(once.getInputStream()), 0).line());
+            }
+            assertEquals(-1, sockets.get(0).getInputStream().read(), "the first stood longest");
+            int clients = loop.submit(intake::clients).get();
+            assertTrue(clients <= MOST / 2, "connections: " + clients);
+            submit(sockets.get(3 * MOST - 1), "again");
+            assertEquals("HTTP/1.1 503 Service Unavailable",
+                    Stub.read(new BufferedInputStream(sockets.get(3 * MOST - 1).getInputStream()), 0).line());
+        } finally {
+            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
 }
