--- a/src/main/java/kestreldeal/trace/Trace.java
+++ b/src/main/java/kestreldeal/trace/Trace.java
@@ -23,22 +23,12 @@
 public final class Trace {
     /** What the loop's time is spent on. */
     public enum Part {
-        /** The decision module's events and turns. */
+        /** The decision module's turns, with the records that they write. */
         MODULE,
-        /** Records written. */
-        JOURNAL,
-        /** Requests of clients: decoding, checks, answers. */
-        CLIENTS,
         /** Calls to endpoints: connecting, writing. */
         CALLS,
-        /** Answers of endpoints. */
-        ANSWERS,
-        /** Notices of final answers, and what the platform says to them. */
-        NOTICES,
-        /** The list of endpoints. */
-        LIST,
-        /** Reading the journal and handing back what it held. */
-        RECOVERY
+        /** Notices of final answers. */
+        NOTICES
     }
 
     private static final long REPORT_NANOS = 1_000_000_000L;
