One fixture for the tests of Intake; notices out are counted from their lanes

Need: a read of the whole change.

Change: a fixture for the tests, assertions untouched; the count is derived; held() gives its list. No behaviour changes.

--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -13,9 +13,9 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -112,7 +112,7 @@
     }
 
     /** What was held when the last process ended, in the order taken. */
-    Collection<Held> held() {
+    List<Held> held() {
         return new ArrayList<>(live.values());
     }
 
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/kestreldeal/net/Notices.java
@@ -43,7 +43,6 @@
     private final Deque<Held> owed = new ArrayDeque<>();
     private final List<Lane> lanes = new ArrayList<>();
     private int most = MOST_IN_BATCH;
-    private int out;
 
     /** A connection, and whether it can take a batch. */
     private static final class Lane {
@@ -107,16 +106,15 @@
         for (int i = lane.batch.size() - 1; i >= 0; i--) {
             owed.addFirst(lane.batch.get(i));
         }
-        free(lane);
-    }
-
-    private void free(Lane lane) {
-        out -= lane.batch.size();
         lane.batch = List.of();
     }
 
     /** Notices that were not heard yet. */
     int owed() {
+        int out = 0;
+        for (Lane lane : lanes) {
+            out += lane.batch.size();
+        }
         return owed.size() + out;
     }
 
@@ -132,7 +130,6 @@
             lines.append(line).append('\n');
         }
         lane.batch = batch;
-        out += batch.size();
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                 "/reports", Unpooled.copiedBuffer(lines, StandardCharsets.UTF_8));
         request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson");
@@ -154,7 +151,7 @@
         int status = answer.map(a -> a.status().code()).orElse(0);
         if (status == 204) {
             List<Held> told = lane.batch;
-            free(lane);
+            lane.batch = List.of();
             most = MOST_IN_BATCH;
             told.forEach(heard);
             flush();
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -219,7 +219,7 @@
             relay.recalled(now, known.getKey().destination(),
                     route.isEmpty() ? Relay.SHARED : endpointNumber(route), known.getValue());
         }
-        List<Held> held = new ArrayList<>(journal.held());
+        List<Held> held = journal.held();
         for (Held h : held) {
             h.told = true;
             if (!h.over) {
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/kestreldeal/net/IntakeTest.java
@@ -18,12 +18,24 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** The bound on clients' connections, apart from the sender. */
 class IntakeTest {
     private static final int MOST = 10;
 
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<Socket> sockets = new ArrayList<>();
+
+    @AfterEach
+    void close() throws Exception {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     /** A desk that is ready and knows nothing. */
     private static final class NoDesk implements Intake.Desk {
         @Override
@@ -119,32 +131,23 @@
     /** Found on a reload day: short of CPU, most requests that were read had no client any more. */
     @Test
     void aClientThatLeftBeforeItsRequestWasReadIsNotTakenOn() throws Exception {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        List<Socket> sockets = new ArrayList<>();
-        try {
-            EventLoop loop = group.next();
-            NotingDesk desk = new NotingDesk();
-            Intake intake = new Intake(loop, MOST, desk);
-            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            CountDownLatch written = new CountDownLatch(1);
-            keepBusy(loop, written);
-            for (int i = 0; i < 5; i++) {
-                sockets.add(new Socket(address.getAddress(), address.getPort()));
-                submit(sockets.get(i), "id-" + i);
-                if (i < 4) {
-                    sockets.get(i).close();
-                }
-            }
-            written.countDown();
-            Stub.Message answer = Stub.read(new BufferedInputStream(sockets.get(4).getInputStream()), 0);
-            assertEquals("HTTP/1.1 503 Service Unavailable", answer.line());
-            assertEquals(List.of("id-4"), desk.asked);
-        } finally {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
-            for (Socket socket : sockets) {
-                socket.close();
+        EventLoop loop = group.next();
+        NotingDesk desk = new NotingDesk();
+        Intake intake = new Intake(loop, MOST, desk);
+        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        CountDownLatch written = new CountDownLatch(1);
+        keepBusy(loop, written);
+        for (int i = 0; i < 5; i++) {
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+            submit(sockets.get(i), "id-" + i);
+            if (i < 4) {
+                sockets.get(i).close();
             }
         }
+        written.countDown();
+        Stub.Message answer = Stub.read(new BufferedInputStream(sockets.get(4).getInputStream()), 0);
+        assertEquals("HTTP/1.1 503 Service Unavailable", answer.line());
+        assertEquals(List.of("id-4"), desk.asked);
     }
 
     private static void keepBusy(EventLoop loop, CountDownLatch until) {
@@ -160,29 +163,20 @@
     /** Found in incident r0b62c9: hundreds that connected in one turn all made room by the same one. */
     @Test
     void aCrowdThatConnectsAtOnceStaysWithinTheBound() throws Exception {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        List<Socket> sockets = new ArrayList<>();
-        try {
-            EventLoop loop = group.next();
-            Intake intake = new Intake(loop, MOST, new NoDesk());
-            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            CountDownLatch connected = new CountDownLatch(1);
-            keepBusy(loop, connected);
-            for (int i = 0; i < 200; i++) {
-                sockets.add(new Socket(address.getAddress(), address.getPort()));
-            }
-            connected.countDown();
-            Socket last = sockets.get(199);
-            Stub.write(last, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
-            assertEquals("HTTP/1.1 200 OK", Stub.read(new BufferedInputStream(last.getInputStream()), 0).line());
-            int clients = loop.submit(intake::clients).get();
-            assertTrue(clients <= MOST, "connections: " + clients);
-        } finally {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
-            for (Socket socket : sockets) {
-                socket.close();
-            }
-        }
+        EventLoop loop = group.next();
+        Intake intake = new Intake(loop, MOST, new NoDesk());
+        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        CountDownLatch connected = new CountDownLatch(1);
+        keepBusy(loop, connected);
+        for (int i = 0; i < 200; i++) {
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+        }
+        connected.countDown();
+        Socket last = sockets.get(199);
+        Stub.write(last, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        assertEquals("HTTP/1.1 200 OK", Stub.read(new BufferedInputStream(last.getInputStream()), 0).line());
+        int clients = loop.submit(intake::clients).get();
+        assertTrue(clients <= MOST, "connections: " + clients);
     }
 
     /**
@@ -191,62 +185,44 @@
      */
     @Test
     void visitorsMakeRoomBeforeThoseWhoHandInMessages() throws Exception {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        List<Socket> sockets = new ArrayList<>();
-        try {
-            NotingDesk desk = new NotingDesk();
-            Intake intake = new Intake(group.next(), MOST, desk);
-            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            Socket customer = new Socket(address.getAddress(), address.getPort());
-            sockets.add(customer);
-            submit(customer, "first");
-            BufferedInputStream in = new BufferedInputStream(customer.getInputStream());
-            assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
-            for (int i = 0; i < 5 * MOST; i++) {
-                Socket visitor = new Socket(address.getAddress(), address.getPort());
-                sockets.add(visitor);
-                Stub.write(visitor, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
-                assertEquals("HTTP/1.1 200 OK", Stub.read(new BufferedInputStream(visitor.getInputStream()), 0).line());
-            }
-            submit(customer, "second");
-            assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
-            assertEquals(List.of("first", "second"), desk.asked);
-        } finally {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
-            for (Socket socket : sockets) {
-                socket.close();
-            }
-        }
+        NotingDesk desk = new NotingDesk();
+        Intake intake = new Intake(group.next(), MOST, desk);
+        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Socket customer = new Socket(address.getAddress(), address.getPort());
+        sockets.add(customer);
+        submit(customer, "first");
+        BufferedInputStream in = new BufferedInputStream(customer.getInputStream());
+        assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
+        for (int i = 0; i < 5 * MOST; i++) {
+            Socket visitor = new Socket(address.getAddress(), address.getPort());
+            sockets.add(visitor);
+            Stub.write(visitor, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+            assertEquals("HTTP/1.1 200 OK", Stub.read(new BufferedInputStream(visitor.getInputStream()), 0).line());
+        }
+        submit(customer, "second");
+        assertEquals("HTTP/1.1 503 Service Unavailable", Stub.read(in, 0).line());
+        assertEquals(List.of("first", "second"), desk.asked);
     }
 
     /** Found in incident r0b62c9: with all connections kept by those who ask once, nobody could hand in more. */
     @Test
     void ofThoseThatAskOnceTheLongestIdleIsClosed() throws Exception {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        List<Socket> sockets = new ArrayList<>();
-        try {
-            EventLoop loop = group.next();
-            NotingDesk desk = new NotingDesk();
-            Intake intake = new Intake(loop, MOST, desk);
-            InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            for (int i = 0; i < 3 * MOST; i++) {
-                Socket once = new Socket(address.getAddress(), address.getPort());
-                sockets.add(once);
-                submit(once, "id-" + i);
-                assertEquals("HTTP/1.1 503 Service Unavailable",
-                        Stub.read(new BufferedInputStream(once.getInputStream()), 0).line());
-            }
-            assertEquals(-1, sockets.get(0).getInputStream().read(), "the first stood longest");
-            int clients = loop.submit(intake::clients).get();
-            assertTrue(clients <= MOST / 2, "connections: " + clients);
-            submit(sockets.get(3 * MOST - 1), "again");
+        EventLoop loop = group.next();
+        NotingDesk desk = new NotingDesk();
+        Intake intake = new Intake(loop, MOST, desk);
+        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        for (int i = 0; i < 3 * MOST; i++) {
+            Socket once = new Socket(address.getAddress(), address.getPort());
+            sockets.add(once);
+            submit(once, "id-" + i);
             assertEquals("HTTP/1.1 503 Service Unavailable",
-                    Stub.read(new BufferedInputStream(sockets.get(3 * MOST - 1).getInputStream()), 0).line());
-        } finally {
-            group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
-            for (Socket socket : sockets) {
-                socket.close();
-            }
-        }
+                    Stub.read(new BufferedInputStream(once.getInputStream()), 0).line());
+        }
+        assertEquals(-1, sockets.get(0).getInputStream().read(), "the first stood longest");
+        int clients = loop.submit(intake::clients).get();
+        assertTrue(clients <= MOST / 2, "connections: " + clients);
+        submit(sockets.get(3 * MOST - 1), "again");
+        assertEquals("HTTP/1.1 503 Service Unavailable",
+                Stub.read(new BufferedInputStream(sockets.get(3 * MOST - 1).getInputStream()), 0).line());
     }
 }
