--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/kestreldeal/net/Endpoints.java
@@ -39,6 +39,7 @@
 import java.util.regex.Pattern;
 import kestreldeal.Params;
 import kestreldeal.Relay.Outcome;
+import kestreldeal.trace.Trace;
 
 /**
  * Calls to endpoints and the connections that they go over: one call each, kept for the next, the newest
@@ -73,6 +74,8 @@
     private final int mostIdle;
     private final Map<Long, Peer> peers = new HashMap<>();
     private int idle;
+    /** Absent unless the sender is traced. */
+    private Trace trace;
 
     Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
         this.loop = loop;
@@ -164,12 +167,28 @@
         if (kept != null) {
             call.write(kept);
         } else {
-            InetSocketAddress dialled = call.peer.address;
-            bootstrap.connect(dialled).addListener((ChannelFuture f) -> call.connected(f, dialled));
+            connect(call);
         }
         return call;
     }
 
+    private void connect(Call call) {
+        InetSocketAddress dialled = call.peer.address;
+        if (trace != null) {
+            trace.enter(Trace.Part.CONNECTS);
+        }
+        ChannelFuture connecting = bootstrap.connect(dialled);
+        if (trace != null) {
+            trace.leave();
+        }
+        connecting.addListener((ChannelFuture f) -> call.connected(f, dialled));
+    }
+
+    /** Accounts for connecting and for answers from now on. */
+    void traced(Trace by) {
+        trace = by;
+    }
+
     /** Stops waiting for a call, by closing its connection. */
     void cancel(Call call) {
         call.end(Outcome.CANCELLED);
@@ -375,7 +394,7 @@
      * nothing behind it can change that; what is no first line ends it too, since a head that never ends
      * would keep it till its time-out. It reads past heads of 1xx answers and leaves all else to the codec.
      */
-    private static final class FirstLine extends ChannelInboundHandlerAdapter {
+    private final class FirstLine extends ChannelInboundHandlerAdapter {
         private static final int LONGEST = 4096;
         private static final String START = "HTTP/1.";
         /** HTTP/1.1, a code of three digits, and a reason if any. */
@@ -391,7 +410,17 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object read) {
-            ByteBuf bytes = (ByteBuf) read;
+            if (trace != null) {
+                trace.enter(Trace.Part.ANSWERS);
+            }
+            look((ByteBuf) read);
+            ctx.fireChannelRead(read);
+            if (trace != null) {
+                trace.leave();
+            }
+        }
+
+        private void look(ByteBuf bytes) {
             if (connection.call == null) {
                 // Nobody asked for this: the connection can't be trusted any more.
                 connection.close();
@@ -400,7 +429,6 @@
                 connection.answerBegins();
                 take((char) (bytes.getByte(i) & 0xff));
             }
-            ctx.fireChannelRead(read);
         }
 
         private void take(char c) {
--- a/src/main/java/kestreldeal/net/Held.java
+++ b/src/main/java/kestreldeal/net/Held.java
@@ -22,6 +22,8 @@
     Optional<Notice> owed = Optional.empty();
     /** Since when this life holds it, by the wall clock. */
     final long takenMs = System.currentTimeMillis();
+    /** When it was ended by a notice, by the wall clock; 0: not in this life. Like {@link #takenMs} for the trace. */
+    long endedMs;
     /** Bytes of its records in the journal. */
     long bytes;
     /** Its client has heard that it was taken; what comes back from the journal counts as heard. */
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/kestreldeal/net/Intake.java
@@ -47,6 +47,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import kestreldeal.BadInput;
+import kestreldeal.trace.Trace;
 
 /**
  * The client side: checks what is handed in, and answers it. A message is journalled before its 202 is
@@ -135,6 +136,8 @@
     private final ServerBootstrap bootstrap;
     /** What was read and not looked at yet. */
     private final Deque<Pending> pending = new ArrayDeque<>();
+    /** Absent unless the sender is traced. */
+    private Trace trace;
     private Channel listener;
     private boolean closing;
 
@@ -170,6 +173,11 @@
                 client);
     }
 
+    /** Accounts for the reading of requests from now on. */
+    void traced(Trace by) {
+        trace = by;
+    }
+
     /** Answers these bytes as a client's on a connection in memory: the way of every request, with no socket. */
     void rehearse(byte[] requests) {
         EmbeddedChannel memory = new EmbeddedChannel();
@@ -213,6 +221,9 @@
      * clients don't do.
      */
     private void takeSome() {
+        if (trace != null) {
+            trace.enter(Trace.Part.READS);
+        }
         for (int i = 0; i < TAKEN_IN_TURN && !pending.isEmpty(); i++) {
             Pending first = pending.peek();
             try {
@@ -230,6 +241,9 @@
                 pending.remove();
             }
         }
+        if (trace != null) {
+            trace.leave();
+        }
         if (!pending.isEmpty()) {
             // Not at once: the sockets are looked at in between, for the list and for answers.
             loop.schedule(this::takeSome, 0, TimeUnit.MILLISECONDS);
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/kestreldeal/net/Journal.java
@@ -21,6 +21,7 @@
 import java.util.TreeMap;
 import java.util.zip.CRC32;
 import kestreldeal.Relay;
+import kestreldeal.trace.Trace;
 
 /**
  * What this sender has taken on, in a file that outlasts its process. Records are appended, each with its
@@ -83,6 +84,8 @@
     private long size;
     private long liveBytes;
     private long numbers;
+    /** Absent unless the sender is traced. */
+    private Trace trace;
 
     Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
         this(folder, diskBytes, maxAttempts, LifeClock.system().mark(), FileChannel::open);
@@ -376,7 +379,25 @@
         liveBytes += record.length;
     }
 
+    /** Accounts for the writing of records from now on. */
+    void traced(Trace by) {
+        trace = by;
+    }
+
     private void write(byte[] record) throws IOException {
+        if (trace == null) {
+            writeRecord(record);
+            return;
+        }
+        trace.enter(Trace.Part.JOURNAL);
+        try {
+            writeRecord(record);
+        } finally {
+            trace.leave();
+        }
+    }
+
+    private void writeRecord(byte[] record) throws IOException {
         if (size + liveBytes + 2L * record.length > bound) {
             compact();
         }
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/kestreldeal/net/Sender.java
@@ -176,6 +176,11 @@
         notices = new Notices(loop, () -> new Agent(loop, agentAddress), this::heard);
         intake = new Intake(loop, mostClients, new Clients());
         discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
+        if (TRACED) {
+            journal.traced(trace);
+            endpoints.traced(trace);
+            intake.traced(trace);
+        }
         recover();
         return null;
     }
@@ -442,9 +447,8 @@
 
     private void end(Held held, Held.Notice notice) {
         over(held, false);
-        if (TRACED && life.wallMs() - held.deadlineMs > LATE_END_MS) {
-            trace.lateEnd(held.id, life.wallMs() - held.takenMs, life.wallMs() - held.deadlineMs,
-                    held.attempts.size(), ready ? "in service" : "in recovery");
+        if (TRACED) {
+            traceEnd(held);
         }
         ended.put(held.id, false);
         try {
@@ -456,6 +460,18 @@
         notices.owe(held);
     }
 
+    private void traceEnd(Held held) {
+        long wall = life.wallMs();
+        held.endedMs = wall;
+        if (wall - held.deadlineMs > LATE_END_MS) {
+            int attempts = held.attempts.size();
+            long first = attempts == 0 ? wall : held.attempts.get(0).sentAtMs;
+            long last = attempts == 0 ? wall : held.attempts.get(attempts - 1).sentAtMs;
+            trace.lateEnd(held.id, wall - held.takenMs, wall - held.deadlineMs, attempts, Math.max(0, first - held.takenMs),
+                    wall - last, ready ? "in service" : "in recovery");
+        }
+    }
+
     // ---- what the module is told ----
 
     private void attemptEnded(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
@@ -492,6 +508,9 @@
     }
 
     private void heard(Held held) {
+        if (TRACED && held.endedMs > 0 && life.wallMs() - held.deadlineMs > LATE_END_MS) {
+            trace.lateNotice(held.id, life.wallMs() - held.endedMs, life.wallMs() - held.deadlineMs);
+        }
         try {
             journal.ended(held);
         } catch (IOException e) {
--- a/src/main/java/kestreldeal/trace/Trace.java
+++ b/src/main/java/kestreldeal/trace/Trace.java
@@ -23,9 +23,17 @@
 public final class Trace {
     /** What the loop's time is spent on. */
     public enum Part {
-        /** The decision module's turns, with the records that they write. */
+        /** The decision module's turns. */
         MODULE,
-        /** Calls to endpoints: connecting, writing. */
+        /** Records written to the journal, whatever they are of. */
+        JOURNAL,
+        /** What clients sent: decoded, checked, answered. */
+        READS,
+        /** Answers of endpoints, as far as they are read at once. */
+        ANSWERS,
+        /** Connections to endpoints begun. */
+        CONNECTS,
+        /** Calls to endpoints: writing. */
         CALLS,
         /** Notices of final answers. */
         NOTICES
@@ -86,10 +94,21 @@
         latestMs = Math.max(latestMs, ms);
     }
 
-    /** A message was ended after its time, or close to it: where its time went. */
-    public void lateEnd(String id, double heldMs, double dueMs, int attempts, String path) {
-        line(String.format(Locale.ROOT, "late end of %s: held %.0f ms, %.0f ms past its end, %d attempts; %s", id,
-                heldMs, dueMs, attempts, path));
+    /**
+     * A message was ended after its time, or close to it: where its time went. {@code waitedMs}: till its first
+     * attempt, or its end where there was none; {@code sinceMs}: from its last attempt till its end, or 0.
+     */
+    public void lateEnd(String id, double heldMs, double dueMs, int attempts, double waitedMs, double sinceMs,
+            String path) {
+        line(String.format(Locale.ROOT, "late end of %s: held %.0f ms, %.0f ms past its end; %.0f ms before the "
+                + "first of %d attempts, %.0f ms since the last; %s", id, heldMs, dueMs, waitedMs, attempts, sinceMs,
+                path));
+    }
+
+    /** A notice was heard late: so long after the message's end, and so long after its time was up. */
+    public void lateNotice(String id, double sinceEndMs, double dueMs) {
+        line(String.format(Locale.ROOT, "late notice of %s: heard %.0f ms after its end, %.0f ms past its time", id,
+                sinceEndMs, dueMs));
     }
 
     private void report(long now) {
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/kestreldeal/net/SenderTest.java
@@ -867,10 +867,11 @@
         assertEquals(2000, refs.size());
     }
 
-    /** Cut at a sample of bytes, record ends and others: each message has one end, none runs against its class. */
-    @Test
-    void killedAnywhereEachMessageHasOneEnd() throws Exception {
-        Path file = folder.resolve("state/journal");
+    /** A recorded journal of 120 messages, at every step of their lives, and where its records end. */
+    private record Recorded(byte[] whole, List<Long> ends) {
+    }
+
+    private Recorded recorded() throws Exception {
         LifeClock clock = LifeClock.system();
         List<Long> ends = new ArrayList<>();
         try (Journal journal = earlier(clock.mark())) {
@@ -894,26 +895,71 @@
                 ends.add(journal.size());
             }
         }
-        byte[] whole = Files.readAllBytes(file);
+        return new Recorded(Files.readAllBytes(folder.resolve("state/journal")), ends);
+    }
+
+    /** Leaves the journal cut at the end of a record or within the next one; returns what it holds. */
+    private List<Held> cut(Recorded recorded, Random random, boolean atEnd) throws Exception {
+        long boundary = recorded.ends.get(random.nextInt(recorded.ends.size()));
+        int cut = (int) (atEnd ? boundary : Math.min(recorded.whole.length, boundary + 1 + random.nextInt(50)));
+        Files.write(folder.resolve("state/journal"), Arrays.copyOf(recorded.whole, cut));
+        notices.clear();
+        endpoints.forEach(e -> e.requests.clear());
+        return journalled();
+    }
+
+    /** None runs against its class, none ends twice; those that may be sent are sent once. */
+    private void assertOneEndEach(List<Held> held, String where) {
+        for (Held h : held) {
+            boolean mayHaveRun = h.attempts.stream().anyMatch(a -> !a.neverRan);
+            long expected = h.owed.isPresent() || h.messageClass.equals("once") && mayHaveRun ? 0 : 1;
+            assertEquals(expected, callsOf(h.id), "calls of " + h.id + where);
+            assertEquals(1 - expected, noticesOf(h.id), "notices of " + h.id + where);
+        }
+        assertEquals(held.size(), calls().size() + notices.size(), where);
+    }
+
+    /** Cut at a sample of bytes, record ends and others: each message has one end, none runs against its class. */
+    @Test
+    void killedAnywhereEachMessageHasOneEnd() throws Exception {
+        Recorded recorded = recorded();
         Random random = new Random(3);
         for (int sample = 0; sample < 24; sample++) {
-            long boundary = ends.get(random.nextInt(ends.size()));
-            int cut = (int) (sample % 2 == 0 ? boundary : Math.min(whole.length, boundary + 1 + random.nextInt(50)));
-            Files.write(file, Arrays.copyOf(whole, cut));
-            List<Held> held = journalled();
-            notices.clear();
-            endpoints.forEach(e -> e.requests.clear());
+            List<Held> held = cut(recorded, random, sample % 2 == 0);
             start();
             awaitNothingHeld();
             sender.kill();
             sender = null;
+            assertOneEndEach(held, ", sample " + sample);
+        }
+    }
+
+    /** The same of the program itself, killed by SIGKILL while it takes up what it holds, and started again. */
+    @Test
+    void theProcessKilledInItsRecoveryGivesEachMessageItsEnd() throws Exception {
+        Recorded recorded = recorded();
+        config();
+        Random random = new Random(7);
+        for (int sample = 0; sample < 4; sample++) {
+            List<Held> held = cut(recorded, random, sample % 2 == 0);
+            if (sample > 1) {
+                // No answer: its calls are out when it is killed.
+                script(Stub.silent());
+                Process first = process();
+                Stub.await("a call or an end", () -> calls().size() + notices.size() > 0);
+                first.destroyForcibly().waitFor();
+                script(Stub.status(200, ""));
+            }
+            Process process = process();
+            awaitNothingHeld();
+            process.destroyForcibly().waitFor();
             for (Held h : held) {
-                boolean mayHaveRun = h.attempts.stream().anyMatch(a -> !a.neverRan);
-                long expected = h.owed.isPresent() || h.messageClass.equals("once") && mayHaveRun ? 0 : 1;
-                assertEquals(expected, callsOf(h.id), "calls of " + h.id + ", cut at " + cut);
-                assertEquals(1 - expected, noticesOf(h.id), "notices of " + h.id + ", cut at " + cut);
+                assertTrue(callsOf(h.id) + noticesOf(h.id) >= 1, h.id + " has its end, sample " + sample);
+                assertTrue(!h.messageClass.equals("once") || callsOf(h.id) <= 1, h.id + " must not run twice");
+            }
+            if (sample <= 1) {
+                assertOneEndEach(held, ", sample " + sample);
             }
-            assertEquals(held.size(), calls().size() + notices.size(), "cut at " + cut);
         }
     }
 
