--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -6,6 +6,6 @@
 rm -rf target/training target/sender.jsa
 mkdir -p target/training
 java deploy/Training.java java @deploy/java.options -Xlog:disable -XX:ArchiveClassesAtExit=target/sender.jsa \
-    -jar target/kestreldeal.jar \
+    -jar target/slipfield.jar \
     || echo "the class archive was made without messages, or not at all: see target/training/log" >&2
 exit 0
--- a/src/main/java/kestreldeal/Main.java
+++ b/src/main/java/slipfield/Main.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield;
 
 import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
@@ -7,10 +7,11 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import kestreldeal.net.Sender;
+import slipfield.daemon.Daemon;
+import slipfield.sim.Drill;
 
 /**
- * The command line: {@code serve} runs a real sender, {@code drill} speaks the simulator's wire on standard
+ * The command line: {@code serve} runs a real sender, {@code simhost} speaks the simulator's wire on standard
  * input and output.
  */
 public final class Main {
@@ -19,14 +20,14 @@
 
     /** Runs the command named by the first argument; usage goes to standard error, exit code 2. */
     public static void main(String[] args) {
-        if (args.length != 1 || !List.of("drill", "serve").contains(args[0])) {
-            System.err.println("usage: java -jar kestreldeal.jar drill | serve");
-            System.err.println("  drill   speak the simulator's wire on standard input and output");
+        if (args.length != 1 || !List.of("simhost", "serve").contains(args[0])) {
+            System.err.println("usage: java -jar slipfield.jar simhost | serve");
+            System.err.println("  simhost speak the simulator's wire on standard input and output");
             System.err.println("  serve   run a sender on real sockets, as its environment configures it");
             System.exit(2);
         }
         if (args[0].equals("serve")) {
-            System.exit(Sender.serve(System.getenv()));
+            System.exit(Daemon.serve(System.getenv()));
         }
         OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
         PrintStream replies = new PrintStream(out, false, StandardCharsets.UTF_8);
--- a/src/main/java/kestreldeal/admission/Admission.java
+++ b/src/main/java/slipfield/admission/Admission.java
@@ -1,4 +1,4 @@
-package kestreldeal.admission;
+package slipfield.admission;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/src/main/java/kestreldeal/net/Agent.java
+++ b/src/main/java/slipfield/agent/Agent.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.agent;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -20,12 +20,13 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import slipfield.config.Config;
 
 /**
  * The platform's agent, over one kept connection that carries one request at a time. It may go silent
  * without a sign, so each request has a time limit, after which its connection is given up.
  */
-final class Agent {
+public final class Agent {
     private static final int LONGEST_ANSWER = 4 << 20;
     private static final int CONNECT_MS = 1000;
 
@@ -60,7 +61,7 @@
         }
     }
 
-    Agent(EventLoop loop, InetSocketAddress address) {
+    public Agent(EventLoop loop, InetSocketAddress address) {
         this.loop = loop;
         this.address = address;
         this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
@@ -81,8 +82,8 @@
      * Guards against a loop that is behind: where each of its rounds takes long, connecting and asking take
      * several, and giving up between two of them would begin it all again, for ever.
      */
-    void ask(FullHttpRequest request, long limitMs, Consumer<Optional<FullHttpResponse>> then) {
-        request.headers().set(HttpHeaderNames.HOST, Endpoints.hostPort(address))
+    public void ask(FullHttpRequest request, long limitMs, Consumer<Optional<FullHttpResponse>> then) {
+        request.headers().set(HttpHeaderNames.HOST, Config.hostPort(address))
                 .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         Request mine = new Request(then);
         current = mine;
@@ -125,7 +126,7 @@
     }
 
     /** Gives up what is out, without an answer: its asker has turned to another agent. */
-    void close() {
+    public void close() {
         if (current != null) {
             current.stopTimer();
             current = null;
--- /dev/null
+++ b/src/main/java/slipfield/agent/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP connection to the platform's agent on this machine, over which its list is watched and its notices are sent.
+ */
+package slipfield.agent;
--- a/src/main/java/kestreldeal/BadInput.java
+++ b/src/main/java/slipfield/config/BadInput.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield.config;
 
 /** Input that can't be read, in plain words. */
 public final class BadInput extends Exception {
--- a/src/main/java/kestreldeal/net/Config.java
+++ b/src/main/java/slipfield/config/Config.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -12,23 +12,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import kestreldeal.BadInput;
-import kestreldeal.Params;
-import kestreldeal.Relay;
+import slipfield.config.BadInput;
+import slipfield.config.Params;
+import slipfield.policy.Relay;
 
 /**
  * What a sender is told, by its environment and its JSON configuration. The environment comes first, but for
  * discovery: the file may be replaced while the sender runs, and the environment then still names the old
  * address, also after a restart. Settings keep their dotted names, so that the adapter and the sender read them in one way.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
               int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double dialMs,
               Optional<JsonNode> known) {
     /** The journal is read in one piece at the start and files count as memory: more is never used. */
     private static final double MOST_DISK_MB = 12;
 
-    static Config read(Map<String, String> env) throws IOException, BadInput {
+    public static Config read(Map<String, String> env) throws IOException, BadInput {
         JsonNode json = JsonMapper.builder().build().readTree(Files.readAllBytes(
                 Path.of(required(env, "GW_CONFIG"))));
         Map<String, String> values = new HashMap<>();
@@ -56,7 +56,7 @@
     }
 
     /** An address as {@code 10.0.0.4:7070}; there is no DNS, so a host name is an error. */
-    static InetSocketAddress address(String text) throws BadInput {
+    public static InetSocketAddress address(String text) throws BadInput {
         int cut = text.lastIndexOf(':');
         try {
             if (cut < 1 || !text.substring(0, cut).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
@@ -69,8 +69,13 @@
         }
     }
 
+    /** An address as {@link #address} reads it. */
+    public static String hostPort(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
     /** Nested JSON as the dotted names of the simulator's wire. */
-    static void flatten(String name, JsonNode node, Map<String, String> values) {
+    public static void flatten(String name, JsonNode node, Map<String, String> values) {
         if (node.isObject()) {
             String prefix = name.isEmpty() ? "" : name + ".";
             node.properties().forEach(e -> flatten(prefix + e.getKey(), e.getValue(), values));
--- a/src/main/java/kestreldeal/Params.java
+++ b/src/main/java/slipfield/config/Params.java
@@ -1,8 +1,9 @@
-package kestreldeal;
+package slipfield.config;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import slipfield.policy.Relay;
 
 /**
  * The settings of one sender by their dotted names, and what the module is told of them. Shared by the
@@ -91,7 +92,7 @@
     }
 
     /** A number in the wire's form. */
-    static double parse(String value) throws BadInput {
+    public static double parse(String value) throws BadInput {
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
--- /dev/null
+++ b/src/main/java/slipfield/config/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * What a sender is told by its environment and its configuration, read and checked. May use {@code policy}, whose
+ * settings it makes.
+ */
+package slipfield.config;
--- /dev/null
+++ b/src/main/java/slipfield/core/Desk.java
@@ -0,0 +1,66 @@
+package slipfield.core;
+
+import java.util.Optional;
+import slipfield.journal.Claim;
+import slipfield.journal.Held;
+
+/** Where fronts hand messages in. Called on the core's thread. */
+public interface Desk {
+    /** What a client asks to be delivered, and who has to hear of its end. */
+    record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
+                      long budgetMs, byte[] body, Claim claim) {
+    }
+
+    /** What became of a submission: it is held, or refused, with the time to come back after in ms, or 0. */
+    record Taking(Optional<Held> held, String reason, long waitMs) {
+        /** It is held. */
+        public static Taking taken(Held held) {
+            return new Taking(Optional.of(held), "", 0);
+        }
+
+        /** It is refused. */
+        public static Taking refused(String reason, long waitMs) {
+            return new Taking(Optional.empty(), reason, waitMs);
+        }
+    }
+
+    /** What is known of an id that was handed in before. */
+    enum Known {
+        /** It is held: it is not taken twice. */
+        HELD,
+        /** It was delivered a moment ago. */
+        DELIVERED,
+        /** It was refused or failed a moment ago. */
+        ENDED
+    }
+
+    /** Whether messages can be taken now. */
+    boolean ready();
+
+    /** Whether the module knows this class. */
+    boolean knowsClass(String name);
+
+    /** Whether this tenant may hand in messages. */
+    boolean knowsTenant(String name);
+
+    /** Whether messages of this class need a key that drops their repeats. */
+    boolean needsKey(String messageClass);
+
+    /** Whether a list has ever named this destination, be its endpoints away or not. */
+    boolean knowsDestination(long destination);
+
+    /**
+     * How a message with this id was answered before, if one is held, or was until a moment ago. One that is
+     * held is told to this claimant too from now on, unless it is one of its claimants already.
+     */
+    Optional<Known> before(String id, Claim claim);
+
+    /** A peer of this outcome has left for good: answers that were not to be kept for it are dropped. */
+    void left(String outcome, String peer);
+
+    /** Journals a message, or refuses it. */
+    Taking take(Submission submission);
+
+    /** The client has heard that it was taken, or never will. */
+    void answered(Held held, boolean heard);
+}
--- /dev/null
+++ b/src/main/java/slipfield/core/Directory.java
@@ -0,0 +1,27 @@
+package slipfield.core;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * Where endpoints come from. Several stand side by side: each gives its own whole lists and changes, and one that
+ * dies leaves standing what it said last.
+ */
+public interface Directory {
+    /** An entry of the list; {@code gone} ones are named so once; {@code weight} 0: none told. */
+    record Entry(String id, InetSocketAddress address, String zone, String kind, long destination, boolean serving,
+            double weight, boolean gone) {
+    }
+
+    /** Is told what has changed. */
+    interface Lists {
+        /** {@code whole}: what this directory doesn't name is no longer in its list. */
+        void listed(boolean whole, List<Entry> entries);
+    }
+
+    /** Begins to watch, and tells these of each change, on the core's thread. */
+    void start(Lists lists);
+
+    /** Whether what it told last came from its source, and not merely from what the configuration knew. */
+    boolean fresh();
+}
--- /dev/null
+++ b/src/main/java/slipfield/core/Front.java
@@ -0,0 +1,20 @@
+package slipfield.core;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/**
+ * A way in for messages. It hands each in at the {@link Desk}, and tells its client what the desk answers. Final
+ * answers reach a client by the {@link Outcome} that the message's claim names: a front whose protocol has them is
+ * one itself.
+ */
+public interface Front {
+    /** Begins to listen, and waits until it does: so it is not called on the core's thread. */
+    InetSocketAddress listen() throws IOException;
+
+    /** Takes no new connection, and ends each that stands with the answer to its next request. */
+    void close();
+
+    /** Connections that clients have open. */
+    int clients();
+}
--- /dev/null
+++ b/src/main/java/slipfield/core/Parts.java
@@ -0,0 +1,29 @@
+package slipfield.core;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import slipfield.journal.Owed;
+import slipfield.trace.Trace;
+
+/** What hangs on a core, made for its event loop. The core knows these by their ports only. */
+public interface Parts {
+    /** The way to endpoints. */
+    Transport transport(EventLoop loop, Transport.Ends ends);
+
+    /** Where final answers go, by the name in a message's claim; {@code heard} is told of each. */
+    Map<String, Outcome> outcomes(EventLoop loop, Consumer<Owed> heard);
+
+    /** Where endpoints come from; the first one's ids stand as they are, those of others behind its name. */
+    Map<String, Directory> directories(EventLoop loop);
+
+    /** The ways in. */
+    List<Front> fronts(EventLoop loop, Desk desk);
+
+    /** Accounts for its parts' time from now on. */
+    void traced(Trace trace);
+
+    /** Makes ready what first messages would find unready, for so many milliseconds at most. */
+    void rehearse(EventLoop loop, long mostMs, Runnable then);
+}
--- a/src/main/java/kestreldeal/net/Recovery.java
+++ b/src/main/java/slipfield/core/Recovery.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.core;
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -8,7 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
-import kestreldeal.recovery.Plan;
+import slipfield.journal.Held;
+import slipfield.recovery.Plan;
 
 /**
  * Takes up what an earlier life held, by its {@link Plan}: a slice in a turn, and the loop free between two.
--- a/src/main/java/kestreldeal/net/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -1,12 +1,9 @@
-package kestreldeal.net;
+package slipfield.core;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.FileChannel;
@@ -20,20 +17,22 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import kestreldeal.BadInput;
-import kestreldeal.Relay;
-import kestreldeal.admission.Admission;
-import kestreldeal.trace.Trace;
+import slipfield.admission.Admission;
+import slipfield.config.Config;
+import slipfield.journal.Claim;
+import slipfield.journal.Held;
+import slipfield.journal.Journal;
+import slipfield.journal.LifeClock;
+import slipfield.journal.Owed;
+import slipfield.log.Log;
+import slipfield.policy.Relay;
+import slipfield.trace.Trace;
 
 /**
  * One real sender: the event loop, the clock, and the names that the module knows by numbers. The loop's
  * thread alone touches the module and all that hangs on it, so nothing here is locked. It decides nothing.
  */
 public final class Sender implements Relay.Actions {
-    /** Descriptors that are neither clients nor calls: the machine's own (30 are seen), the journal, agents. */
-    private static final int OTHER_SOCKETS = 48;
-    /** Share of the rest for clients, who may hold a third of all for requests; the others are for calls. */
-    private static final double CLIENT_SHARE = 0.6;
     /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
     private static final int ENDED_KNOWN = 4096;
     /**
@@ -44,10 +43,6 @@
     private static final long UNREAD_MS = 700;
     /** The same for what is taken while the loop is late: its end may be as late again as its request was. */
     private static final long UNREAD_LATE_MS = 1000;
-    /** From SIGTERM: new connections come for so long at most. */
-    static final long TAKING_MS = 450;
-    /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
-    static final long CLOSING_MS = 3300;
     private static final long DRAIN_POLL_MS = 20;
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
     private static final long GONE_MS = 60_000;
@@ -57,9 +52,10 @@
     private static final long REHEARSE_MS = 4000;
     private static final long REHEARSE_HELD_MS = 300;
     /** The property that switches the account of the loop's time on: {@code -Dsender.trace=true}. */
-    static final boolean TRACED = Boolean.getBoolean("sender.trace");
+    public static final boolean TRACED = Boolean.getBoolean("sender.trace");
 
     private final Config config;
+    private final Parts parts;
     private final long takingMs;
     private final long closingMs;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -88,7 +84,7 @@
     /** Destinations that a list has named. */
     private final Set<Long> destinations = new HashSet<>();
     /** Attempts that are out, by message and attempt: see {@link #out}. */
-    private final Map<Long, Endpoints.Call> calls = new HashMap<>();
+    private final Map<Long, Transport.Attempt> calls = new HashMap<>();
     /** Calls that the module has decided in this turn: they are made when its ends are on their way. */
     private final List<Decided> decided = new ArrayList<>();
     private final Relay relay;
@@ -96,11 +92,11 @@
     private final Trace trace = TRACED ? new Trace(System.err) : null;
     private Recovery recovery;
     private Journal journal;
-    private Endpoints endpoints;
-    private Notices notices;
-    private Discovery discovery;
-    private InetSocketAddress agentAddress;
-    private Intake intake;
+    private Transport transport;
+    private Map<String, Outcome> outcomes = Map.of();
+    private Map<String, Directory> directories = Map.of();
+    private Catalogue catalogue;
+    private List<Front> fronts = List.of();
     private boolean turnOpen;
     private double clock;
     private boolean closing;
@@ -115,12 +111,15 @@
     private record Decided(Held held, int attempt, long endpoint, double timeoutMs) {
     }
 
-    Sender(Config config, long takingMs, long closingMs) {
-        this(config, takingMs, closingMs, LifeClock.system());
-    }
-
-    Sender(Config config, long takingMs, long closingMs, LifeClock life) {
+    /**
+     * A sender of these parts.
+     *
+     * @param takingMs from being told to end: new connections come for so long at most
+     * @param closingMs from being told to end: attempts out may last till here
+     */
+    public Sender(Config config, Parts parts, long takingMs, long closingMs, LifeClock life) {
         this.config = config;
+        this.parts = parts;
         this.life = life;
         this.admission = new Admission(config.maxOpen());
         this.takingMs = takingMs;
@@ -128,86 +127,43 @@
         this.relay = Relay.create(config.settings(), config.seed(), this);
     }
 
-    /** Runs a sender until it is told to end; returns the exit code. */
-    public static int serve(Map<String, String> env) {
-        // Named, or Netty looks for two other libraries first, which costs 30 ms of a start's CPU.
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        try {
-            Sender sender = new Sender(Config.read(env), TAKING_MS, CLOSING_MS);
-            Hangup.handle(() -> sender.reload(env));
-            sender.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(sender::drain, "drain"));
-            sender.stopped.await();
-            return 0;
-        } catch (BadInput | IOException e) {
-            Log.line("can't start: " + e.getMessage());
-            return 1;
-        } catch (InterruptedException e) {
-            return 1;
-        }
-    }
-
     /**
-     * Ends what an earlier life left overdue, begins to serve, and goes on with the rest; returns the address
-     * when clients can connect to it.
+     * Ends what an earlier life left overdue, begins to serve, and goes on with the rest; returns the address of
+     * each front when clients can connect to it.
      */
-    InetSocketAddress start() throws IOException {
+    public List<InetSocketAddress> start() throws IOException {
         loop.submit(this::open).syncUninterruptibly();
         try {
             endsOut.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        InetSocketAddress address = intake.listen(config.listen());
-        Log.line(config.name() + " listens at " + Endpoints.hostPort(address));
-        return address;
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (Front front : fronts) {
+            InetSocketAddress address = front.listen();
+            Log.line(config.name() + " listens at " + Config.hostPort(address));
+            addresses.add(address);
+        }
+        return addresses;
     }
 
     private Void open() throws IOException {
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), life.mark(),
                 FileChannel::open);
-        int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
-        int mostClients = (int) (sockets * CLIENT_SHARE);
-        int mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
-        endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle,
-                this::attemptEnded);
-        endpoints.start();
-        agentAddress = config.discovery();
-        notices = new Notices(loop, () -> new Agent(loop, agentAddress), this::heard);
-        intake = new Intake(loop, mostClients, new Clients());
-        discovery = new Discovery(loop, new Agent(loop, agentAddress), this::listed);
+        transport = parts.transport(loop, this::attemptEnded);
+        transport.start();
+        outcomes = parts.outcomes(loop, this::heard);
+        fronts = parts.fronts(loop, new Clients());
+        directories = parts.directories(loop);
+        catalogue = new Catalogue(List.copyOf(directories.keySet()));
         if (TRACED) {
             journal.traced(trace);
-            endpoints.traced(trace);
-            intake.traced(trace);
+            parts.traced(trace);
         }
         recover();
         return null;
     }
 
-    /**
-     * Reads the configuration again, on the caller's thread, since a file may be slow. Only discovery's
-     * address is taken over: all else holds for the life of a process. A file that can't be read, or names no
-     * address, leaves the old one standing.
-     */
-    void reload(Map<String, String> env) {
-        try {
-            InetSocketAddress address = Config.read(env).discovery();
-            loop.execute(() -> moveTo(address));
-        } catch (BadInput | IOException e) {
-            Log.line("the configuration can't be read again, the old one stands: " + e.getMessage());
-        }
-    }
-
-    private void moveTo(InetSocketAddress address) {
-        Log.line("configuration read again; discovery is at " + Endpoints.hostPort(address));
-        if (!address.equals(agentAddress)) {
-            agentAddress = address;
-            discovery.moveTo(new Agent(loop, address));
-            notices.moveTo(() -> new Agent(loop, address));
-        }
-    }
-
     /** What an earlier life held goes back to the module, with what it did and knew. */
     private void recover() {
         long wall = life.wallMs();
@@ -245,7 +201,7 @@
         @Override
         public void tell(Held held) {
             openTurn();
-            notices.owe(held);
+            owe(held);
         }
 
         @Override
@@ -254,7 +210,7 @@
             double now = openTurn();
             if (messageClass < 0) {
                 Log.line("class " + held.messageClass + " is gone; its message is given up");
-                end(held, new Held.Notice(false, 0));
+                end(held, new Held.Notice(Held.End.FAILED, 0));
                 return;
             }
             long wall = life.wallMs();
@@ -269,8 +225,9 @@
 
         @Override
         public void endsOut() {
-            discovery.start(config.known());
-            new Rehearsal(loop, config, open.isEmpty() ? REHEARSE_MS : REHEARSE_HELD_MS, endsOut::countDown).play();
+            directories.forEach((name, directory) ->
+                    directory.start((whole, entries) -> listed(name, directory.fresh(), whole, entries)));
+            parts.rehearse(loop, open.isEmpty() ? REHEARSE_MS : REHEARSE_HELD_MS, endsOut::countDown);
         }
 
         @Override
@@ -313,7 +270,7 @@
             trace.leave();
             trace.enter(Trace.Part.NOTICES);
         }
-        notices.flush();
+        outcomes.values().forEach(Outcome::flush);
         if (TRACED) {
             trace.leave();
             trace.enter(Trace.Part.CALLS);
@@ -334,7 +291,7 @@
         long decidedNanos = startNanos + (long) (clock * 1e6);
         for (Decided d : decided) {
             calls.put(out(d.held.number, d.attempt),
-                    endpoints.call(d.held, d.attempt, d.endpoint, d.timeoutMs, decidedNanos));
+                    transport.attempt(d.held, d.attempt, d.endpoint, d.timeoutMs, decidedNanos));
         }
         decided.clear();
     }
@@ -379,25 +336,25 @@
     @Override
     public void cancel(long message, int attempt) {
         makeCalls();
-        Endpoints.Call call = calls.get(out(message, attempt));
+        Transport.Attempt call = calls.get(out(message, attempt));
         if (call != null) {
-            endpoints.cancel(call);
+            call.cancel();
         }
     }
 
     @Override
     public void closeIdle(long endpoint) {
-        endpoints.closeIdle(endpoint);
+        transport.closeIdle(endpoint);
     }
 
     @Override
     public void refuse(long message, double waitMs) {
-        end(open.get(message), new Held.Notice(true, waitMs));
+        end(open.get(message), new Held.Notice(Held.End.REFUSED, waitMs));
     }
 
     @Override
     public void fail(long message) {
-        end(open.get(message), new Held.Notice(false, 0));
+        end(open.get(message), new Held.Notice(Held.End.FAILED, 0));
     }
 
     @Override
@@ -457,7 +414,34 @@
             Log.line("a notice is not in the journal: " + e.getMessage());
             held.owed = Optional.of(notice);
         }
-        notices.owe(held);
+        owe(held);
+    }
+
+    /** Each claimant is told by its own outcome. */
+    private void owe(Held held) {
+        if (held.claims.isEmpty()) {
+            forget(held);
+        }
+        // A copy: one that is heard at once is taken off.
+        for (Claim claim : List.copyOf(held.claims)) {
+            Outcome outcome = outcomes.get(claim.outcome());
+            if (outcome == null) {
+                Log.line("nobody tells the ends of messages that came by '" + claim.outcome()
+                        + "': it is not set up any more; the answer of " + held.id + " is kept");
+            } else {
+                outcome.owe(new Owed(held, claim));
+            }
+        }
+    }
+
+    /** It has an end that nobody has to hear of. */
+    private void forget(Held held) {
+        try {
+            journal.ended(held);
+        } catch (IOException e) {
+            // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
+            Log.line("an end is not in the journal: " + e.getMessage());
+        }
     }
 
     private void traceEnd(Held held) {
@@ -474,20 +458,18 @@
 
     // ---- what the module is told ----
 
-    private void attemptEnded(Endpoints.Call call, Relay.Outcome outcome, boolean gone, double waitMs,
+    private void attemptEnded(Transport.Attempt call, Relay.Outcome outcome, boolean gone, double waitMs,
             double toldRate) {
-        calls.remove(out(call.held.number, call.attempt));
-        double took = (System.nanoTime() - call.startedNanos) / 1e6;
-        attemptEnded(call.held, call.attempt, outcome, gone, waitMs, toldRate, took);
+        calls.remove(out(call.held().number, call.number()));
+        double took = (System.nanoTime() - call.startedNanos()) / 1e6;
+        attemptEnded(call.held(), call.number(), outcome, gone, waitMs, toldRate, took);
     }
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
             double toldRate, double took) {
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
-                over(held, true);
-                ended.put(held.id, true);
-                journal.ended(held);
+                delivered(held);
             } else if (!held.over && !outcome.mayHaveRun()) {
                 journal.neverRan(held, attempt);
             }
@@ -500,6 +482,22 @@
                 finished, waitMs, toldRate)));
     }
 
+    /** Only what asked for it is told of a delivery. */
+    private void delivered(Held held) throws IOException {
+        over(held, true);
+        ended.put(held.id, true);
+        held.claims.removeIf(claim -> !claim.delivered());
+        if (held.claims.isEmpty()) {
+            journal.ended(held);
+            return;
+        }
+        try {
+            journal.owed(held, new Held.Notice(Held.End.DELIVERED, 0));
+        } finally {
+            owe(held);
+        }
+    }
+
     private void over(Held held, boolean delivered) {
         held.over = true;
         open.remove(held.number);
@@ -507,34 +505,36 @@
         admission.ended(now(), held.destination, delivered);
     }
 
-    private void heard(Held held) {
+    private void heard(Owed answer) {
+        Held held = answer.held();
         if (TRACED && held.endedMs > 0 && life.wallMs() - held.deadlineMs > LATE_END_MS) {
             trace.lateNotice(held.id, life.wallMs() - held.endedMs, life.wallMs() - held.deadlineMs);
         }
         try {
-            journal.ended(held);
+            journal.heard(held, answer.claim());
         } catch (IOException e) {
             // It is told again after a restart, which does no harm.
             Log.line("a notice's end is not in the journal: " + e.getMessage());
         }
     }
 
-    private void listed(boolean whole, List<Discovery.Entry> entries) {
+    private void listed(String directory, boolean fresh, boolean whole, List<Directory.Entry> told) {
+        Catalogue.Change change = catalogue.listed(directory, whole, told);
         List<Relay.Endpoint> list = new ArrayList<>();
-        for (Discovery.Entry e : entries) {
+        for (Directory.Entry e : change.entries()) {
             long number = endpointNumber(e.id());
             destinations.add(e.destination());
-            endpoints.at(number, e.address(), e.serving());
+            transport.at(number, e.address(), e.serving());
             list.add(new Relay.Endpoint(number, e.destination(), Math.max(0, config.kinds().indexOf(e.kind())),
                     Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight(), e.gone()));
         }
-        forgetGone(whole, entries);
-        event(() -> relay.endpoints(openTurn(), whole, list));
-        recovery.listKnown(discovery.fresh());
+        forgetGone(change.whole(), change.entries());
+        event(() -> relay.endpoints(openTurn(), change.whole(), list));
+        recovery.listKnown(fresh);
     }
 
     /** Later than the module does, lest it name one that is no longer known here. */
-    private void forgetGone(boolean whole, List<Discovery.Entry> entries) {
+    private void forgetGone(boolean whole, List<Directory.Entry> entries) {
         long now = System.nanoTime();
         if (whole) {
             Set<String> named = new HashSet<>();
@@ -542,11 +542,11 @@
             endpointNumbers.forEach((id, number) -> {
                 goneSince.putIfAbsent(id, now);
                 if (!named.contains(id)) {
-                    endpoints.stop(number);
+                    transport.stop(number);
                 }
             });
         }
-        for (Discovery.Entry e : entries) {
+        for (Directory.Entry e : entries) {
             if (e.gone()) {
                 goneSince.putIfAbsent(e.id(), now);
             } else {
@@ -558,7 +558,7 @@
             if (old) {
                 long number = endpointNumbers.remove(gone.getKey());
                 endpointIds.remove(number);
-                endpoints.forget(number);
+                transport.forget(number);
                 remember(gone.getKey(), new Journal.Health(Relay.State.UP, 0, 0));
             }
             return old;
@@ -576,7 +576,7 @@
     }
 
     /** The clients' side. */
-    private final class Clients implements Intake.Desk {
+    private final class Clients implements Desk {
         @Override
         public boolean ready() {
             return ready && !closing;
@@ -605,18 +605,45 @@
 
         /** What was ended by a notice is not taken on again under its id, nor is it owed anything more. */
         @Override
-        public Optional<HttpResponseStatus> answeredBefore(String id) {
-            if (byId.containsKey(id)) {
-                return Optional.of(HttpResponseStatus.ACCEPTED);
+        public Optional<Known> before(String id, Claim claim) {
+            Held held = byId.get(id);
+            if (held != null) {
+                claim(held, claim);
+                return Optional.of(Known.HELD);
             }
             return Optional.ofNullable(ended.get(id)).map(delivered ->
-                    delivered ? HttpResponseStatus.ACCEPTED : HttpResponseStatus.CONFLICT);
+                    delivered ? Known.DELIVERED : Known.ENDED);
+        }
+
+        private void claim(Held held, Claim claim) {
+            // Somebody is about to hear that it is held: it must not be withdrawn for another who never does.
+            answered(held, true);
+            if (!held.claims.contains(claim)) {
+                try {
+                    journal.claimed(held, claim);
+                } catch (IOException e) {
+                    // It is told in this life; a later one has forgotten who else had asked.
+                    Log.line("a claim is not in the journal: " + e.getMessage());
+                    held.claims.add(claim);
+                }
+            }
+        }
+
+        @Override
+        public void left(String outcome, String peer) {
+            for (Held held : List.copyOf(open.values())) {
+                for (Claim claim : List.copyOf(held.claims)) {
+                    if (claim.outcome().equals(outcome) && claim.peer().equals(peer) && !claim.keep()) {
+                        heard(new Owed(held, claim));
+                    }
+                }
+            }
         }
 
         @Override
-        public Intake.Taking take(Intake.Submission s) {
+        public Taking take(Submission s) {
             if (!ready) {
-                return Intake.Taking.refused("not ready yet", 0);
+                return Taking.refused("not ready yet", 0);
             }
             double mostMs = config.settings().classes().get(config.classes().indexOf(s.messageClass()))
                     .deadlineMs();
@@ -624,19 +651,19 @@
             leftMs -= admission.isLate(now()) ? UNREAD_LATE_MS : Math.min(UNREAD_MS, leftMs / 2);
             Admission.Verdict verdict = admission.admit(now(), s.destination(), leftMs, open.size());
             if (!verdict.taken()) {
-                return Intake.Taking.refused(verdict.reason(), verdict.waitMs());
+                return Taking.refused(verdict.reason(), verdict.waitMs());
             }
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
-                    s.destination(), life.wallMs() + leftMs, s.body());
+                    s.destination(), life.wallMs() + leftMs, s.body(), s.claim());
             try {
                 journal.taken(held);
             } catch (IOException e) {
-                return Intake.Taking.refused("no room", 0);
+                return Taking.refused("no room", 0);
             }
             open.put(held.number, held);
             byId.put(held.id, held);
             admission.held(now(), held.destination);
-            return Intake.Taking.taken(held);
+            return Taking.taken(held);
         }
 
         @Override
@@ -668,13 +695,13 @@
      * Ends in order, within the time before SIGKILL: takes messages while new connections still come, starts
      * no call that can't end in time, and lets calls and notices out finish. The journal holds the rest.
      */
-    void drain() {
+    public void drain() {
         long begun = System.nanoTime();
         loop.execute(() -> {
             closing = true;
             event(() -> relay.closing(openTurn(), clock + closingMs));
             loop.schedule(() -> {
-                intake.close();
+                fronts.forEach(Front::close);
                 awaitIdle(begun);
             }, takingMs, TimeUnit.MILLISECONDS);
         });
@@ -686,28 +713,37 @@
     }
 
     private void awaitIdle(long begun) {
-        boolean idle = open.isEmpty() && notices.owed() == 0 && intake.clients() == 0;
+        boolean idle = open.isEmpty() && owed() == 0 && fronts.stream().allMatch(front -> front.clients() == 0);
         if (idle || System.nanoTime() - begun >= TimeUnit.MILLISECONDS.toNanos(closingMs)) {
             Log.line(config.name() + " ends; its journal holds " + open.size() + " messages and "
-                    + notices.owed() + " notices");
+                    + owed() + " notices");
             stopped.countDown();
             return;
         }
         loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
     }
 
+    private int owed() {
+        return outcomes.values().stream().mapToInt(Outcome::owed).sum();
+    }
+
+    /** Waits until the sender has ended. */
+    public void await() throws InterruptedException {
+        stopped.await();
+    }
+
     /** The thread that owns all of this. */
-    EventLoop loop() {
+    public EventLoop loop() {
         return loop;
     }
 
     /** Turns that taking up the journal took. */
-    int recoveryTurns() {
+    public int recoveryTurns() {
         return loop.submit(recovery::turns).syncUninterruptibly().getNow();
     }
 
     /** Lets go of everything at once, as the end of the process would: the journal first. */
-    void kill() {
+    public void kill() {
         loop.submit(journal::close).syncUninterruptibly();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
--- /dev/null
+++ b/src/main/java/slipfield/core/Transport.java
@@ -0,0 +1,62 @@
+package slipfield.core;
+
+import java.net.InetSocketAddress;
+import slipfield.journal.Held;
+import slipfield.policy.Relay;
+
+/**
+ * A way to endpoints, as the core sees it: makes one attempt at a time for a message and reports its one end.
+ * Called on the core's thread, and reports on it, never from within a call.
+ */
+public interface Transport {
+    /** An attempt on its way. */
+    interface Attempt {
+        /** The message that it carries. */
+        Held held();
+
+        /** Which of the message's attempts it is, from 0. */
+        int number();
+
+        /** When it began, by {@link System#nanoTime}. */
+        long startedNanos();
+
+        /** Stops waiting for it; its end is still reported. */
+        void cancel();
+    }
+
+    /** Told of the end of each attempt, once. */
+    interface Ends {
+        /**
+         * An attempt ended.
+         *
+         * @param gone the message is over, whatever else is true
+         * @param waitMs the wait that the endpoint told, in milliseconds, or 0
+         * @param toldRate the attempts a second that the destination says it takes, or 0
+         */
+        void ended(Attempt attempt, Relay.Outcome outcome, boolean gone, double waitMs, double toldRate);
+    }
+
+    /** Begins to look after what it keeps open. */
+    void start();
+
+    /** An endpoint is at this address from now on; connections to another one are of no more use. */
+    void at(long endpoint, InetSocketAddress address, boolean serving);
+
+    /** Nothing new may go there, be it decided already. */
+    void stop(long endpoint);
+
+    /** An endpoint has been gone for long. */
+    void forget(long endpoint);
+
+    /**
+     * Begins an attempt; its end is told once, within the time-out or soon after. That counts from when the
+     * module decided.
+     *
+     * @param number which of the message's attempts it is, from 0
+     * @param timeoutMs in milliseconds from {@code decidedNanos}
+     */
+    Attempt attempt(Held held, int number, long endpoint, double timeoutMs, long decidedNanos);
+
+    /** Closes idle connections to an endpoint; the next attempt there opens a new one. */
+    void closeIdle(long endpoint);
+}
--- /dev/null
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -0,0 +1,165 @@
+package slipfield.daemon;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import slipfield.agent.Agent;
+import slipfield.config.BadInput;
+import slipfield.config.Config;
+import slipfield.core.Desk;
+import slipfield.core.Directory;
+import slipfield.core.Front;
+import slipfield.core.Outcome;
+import slipfield.core.Parts;
+import slipfield.core.Sender;
+import slipfield.core.Transport;
+import slipfield.directory.Discovery;
+import slipfield.front.http.Intake;
+import slipfield.journal.Claim;
+import slipfield.journal.LifeClock;
+import slipfield.journal.Owed;
+import slipfield.log.Log;
+import slipfield.outcome.Notices;
+import slipfield.trace.Trace;
+import slipfield.transport.http.Endpoints;
+
+/** A sender with the parts that its configuration names, and the signals that it heeds. */
+public final class Daemon implements Parts {
+    /** Descriptors that are neither clients nor calls: the machine's own (30 are seen), the journal, agents. */
+    private static final int OTHER_SOCKETS = 48;
+    /** Share of the rest for clients, who may hold a third of all for requests; the others are for calls. */
+    private static final double CLIENT_SHARE = 0.6;
+    /** From SIGTERM: new connections come for so long at most, in ms. */
+    static final long TAKING_MS = 450;
+    /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
+    static final long CLOSING_MS = 3300;
+
+    private final Config config;
+    private final Sender sender;
+    private final int mostClients;
+    private final int mostIdle;
+    private InetSocketAddress agentAddress;
+    private Endpoints endpoints;
+    private Notices notices;
+    private Discovery discovery;
+    private Intake intake;
+
+    /** As the program runs it. */
+    public Daemon(Config config) {
+        this(config, TAKING_MS, CLOSING_MS, LifeClock.system());
+    }
+
+    Daemon(Config config, long takingMs, long closingMs, LifeClock life) {
+        this.config = config;
+        this.agentAddress = config.discovery();
+        int sockets = Math.max(config.sockets() - OTHER_SOCKETS, 64);
+        this.mostClients = (int) (sockets * CLIENT_SHARE);
+        this.mostIdle = Math.max(1, sockets - mostClients - config.settings().slots());
+        this.sender = new Sender(config, this, takingMs, closingMs, life);
+    }
+
+    /** Runs a sender until it is told to end; returns the exit code. */
+    public static int serve(Map<String, String> env) {
+        // Named, or Netty looks for two other libraries first, which costs 30 ms of a start's CPU.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        try {
+            Daemon daemon = new Daemon(Config.read(env));
+            Hangup.handle(() -> daemon.reload(env));
+            daemon.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "drain"));
+            daemon.sender.await();
+            return 0;
+        } catch (BadInput | IOException e) {
+            Log.line("can't start: " + e.getMessage());
+            return 1;
+        } catch (InterruptedException e) {
+            return 1;
+        }
+    }
+
+    /** Starts it; returns the address that its clients connect to. */
+    public InetSocketAddress start() throws IOException {
+        return sender.start().get(0);
+    }
+
+    /** Ends in order, within the time before SIGKILL. */
+    public void drain() {
+        sender.drain();
+    }
+
+    /** Lets go of everything at once, as the end of the process would. */
+    public void kill() {
+        sender.kill();
+    }
+
+    EventLoop loop() {
+        return sender.loop();
+    }
+
+    int recoveryTurns() {
+        return sender.recoveryTurns();
+    }
+
+    /**
+     * Reads the configuration again, on the caller's thread, since a file may be slow. Only discovery's
+     * address is taken over: all else holds for the life of a process. A file that can't be read, or names no
+     * address, leaves the old one standing.
+     */
+    void reload(Map<String, String> env) {
+        try {
+            InetSocketAddress address = Config.read(env).discovery();
+            sender.loop().execute(() -> moveTo(address));
+        } catch (BadInput | IOException e) {
+            Log.line("the configuration can't be read again, the old one stands: " + e.getMessage());
+        }
+    }
+
+    private void moveTo(InetSocketAddress address) {
+        Log.line("configuration read again; discovery is at " + Config.hostPort(address));
+        if (!address.equals(agentAddress)) {
+            agentAddress = address;
+            discovery.moveTo(new Agent(sender.loop(), address));
+            notices.moveTo(() -> new Agent(sender.loop(), address));
+        }
+    }
+
+    @Override
+    public Transport transport(EventLoop loop, Transport.Ends ends) {
+        endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle, ends);
+        return endpoints;
+    }
+
+    @Override
+    public Map<String, Outcome> outcomes(EventLoop loop, Consumer<Owed> heard) {
+        notices = new Notices(loop, () -> new Agent(loop, agentAddress), heard);
+        return Map.of(Claim.PLATFORM.outcome(), notices);
+    }
+
+    @Override
+    public Map<String, Directory> directories(EventLoop loop) {
+        discovery = new Discovery(loop, new Agent(loop, agentAddress), config.known());
+        return Map.of("platform", discovery);
+    }
+
+    @Override
+    public List<Front> fronts(EventLoop loop, Desk desk) {
+        intake = new Intake(loop, config.listen(), mostClients, desk);
+        return List.of(intake);
+    }
+
+    @Override
+    public void traced(Trace trace) {
+        endpoints.traced(trace);
+        intake.traced(trace);
+    }
+
+    @Override
+    public void rehearse(EventLoop loop, long mostMs, Runnable then) {
+        new Rehearsal(loop, config, mostMs, then).play();
+    }
+}
--- a/src/main/java/kestreldeal/net/Hangup.java
+++ b/src/main/java/slipfield/daemon/Hangup.java
@@ -1,8 +1,9 @@
-package kestreldeal.net;
+package slipfield.daemon;
 
 import java.lang.reflect.Proxy;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import slipfield.log.Log;
 
 /**
  * SIGHUP, which by default ends a JVM. Java has no supported interface to signals, so the JDK's own one is
--- a/src/main/java/kestreldeal/net/Rehearsal.java
+++ b/src/main/java/slipfield/daemon/Rehearsal.java
@@ -1,12 +1,17 @@
-package kestreldeal.net;
+package slipfield.daemon;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import kestreldeal.Relay;
+import slipfield.config.Config;
+import slipfield.core.Desk;
+import slipfield.front.http.Intake;
+import slipfield.journal.Claim;
+import slipfield.journal.Held;
+import slipfield.policy.Relay;
+import slipfield.transport.http.Endpoints;
 
 /**
  * Messages that nobody sent, through the client side, a decision module and the calls' side of their own, in memory, before the
@@ -15,9 +20,9 @@
  * under load, when requests stand unread and ends come late. Nothing of it reaches a socket, the journal, or the
  * state of the sender. In slices, with the loop free between them, and for a bounded time.
  */
-final class Rehearsal {
+public final class Rehearsal {
     /** Calls after which most of the way is compiled. */
-    static final int MESSAGES = 200;
+    public static final int MESSAGES = 200;
     private static final int SLICE = 8;
     private static final byte[] ANSWER = ("HTTP/1.1 200 OK\r\nX-Load-Report: TEXT x0=0.5, x1=20\r\n"
             + "Content-Length: 2\r\n\r\n{}").getBytes(StandardCharsets.US_ASCII);
@@ -36,12 +41,12 @@
     private int played;
 
     /** For so many milliseconds at most; then the sender listens, by {@code then}. */
-    Rehearsal(EventLoop loop, Config config, long mostMs, Runnable then) {
+    public Rehearsal(EventLoop loop, Config config, long mostMs, Runnable then) {
         this.loop = loop;
         this.mostNanos = TimeUnit.MILLISECONDS.toNanos(mostMs);
         this.then = then;
         this.settings = config.settings();
-        this.intake = new Intake(loop, Integer.MAX_VALUE, stage);
+        this.intake = new Intake(loop, config.listen(), Integer.MAX_VALUE, stage);
         this.endpoints = new Endpoints(loop, 1000, 1000, 0, (call, outcome, gone, waitMs, toldRate) -> { });
         this.held = new Held(0, "0123456789abcdef", "rehearsal", "", Optional.of("0123456789abcdef"), 1, 0,
                 new byte[2]);
@@ -56,7 +61,7 @@
     }
 
     /** Plays the next slice, and the others after it. */
-    void play() {
+    public void play() {
         if (played >= MESSAGES || System.nanoTime() - begun >= mostNanos) {
             then.run();
             return;
@@ -82,7 +87,7 @@
     }
 
     /** A desk that takes nothing on, and a module's world in which every send arrives. */
-    private static final class Stage implements Intake.Desk, Relay.Actions {
+    private static final class Stage implements Desk, Relay.Actions {
         private long sent;
 
         @Override
@@ -111,13 +116,17 @@
         }
 
         @Override
-        public Optional<HttpResponseStatus> answeredBefore(String id) {
+        public Optional<Known> before(String id, Claim claim) {
             return Optional.empty();
         }
 
         @Override
-        public Intake.Taking take(Intake.Submission submission) {
-            return Intake.Taking.refused("rehearsal", 0);
+        public void left(String outcome, String peer) {
+        }
+
+        @Override
+        public Taking take(Submission submission) {
+            return Taking.refused("rehearsal", 0);
         }
 
         @Override
--- a/src/main/java/kestreldeal/net/Discovery.java
+++ b/src/main/java/slipfield/directory/Discovery.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.directory;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -12,18 +12,21 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import kestreldeal.BadInput;
+import slipfield.agent.Agent;
+import slipfield.config.BadInput;
+import slipfield.config.Config;
+import slipfield.core.Directory;
+import slipfield.log.Log;
 
 /**
  * The list of endpoints: what the configuration knew, then the whole list, then a watch on what changes. It
  * is never waited for; while discovery is silent the last list stands.
  */
-final class Discovery {
+public final class Discovery implements Directory {
     /** A change counts as told 2 s after the end of a call's wait, so the wait is short. */
     private static final long WAIT_MS = 3000;
     /** An answer that is so late will not come: the connection was cut, or discovery is down. */
@@ -31,38 +34,32 @@
     /** A watch goes on if its next call comes within 200 ms. */
     private static final long PAUSE_MS = 100;
 
-    /** One entry of the list, by the platform's names; one that is gone comes among changes only. */
-    record Entry(String id, InetSocketAddress address, String zone, String kind, long destination,
-                 boolean serving, double weight, boolean gone) {
-    }
-
-    /** Told of each list, or of what changed in it. */
-    interface Lists {
-        void listed(boolean whole, List<Entry> entries);
-    }
-
     private final EventLoop loop;
     private Agent agent;
-    private final Lists lists;
+    private final Optional<JsonNode> known;
+    private Lists lists;
     private final ObjectMapper json = JsonMapper.builder().build();
     private long generation = -1;
     private boolean silent;
     /** The pause before the next question, if there is one. */
     private Optional<Future<?>> pause = Optional.empty();
 
-    Discovery(EventLoop loop, Agent agent, Lists lists) {
+    /** {@code known}: the list that the configuration knew, if any. */
+    public Discovery(EventLoop loop, Agent agent, Optional<JsonNode> known) {
         this.loop = loop;
         this.agent = agent;
-        this.lists = lists;
+        this.known = known;
     }
 
-    /** Whether discovery has answered, so that the list is not merely what the configuration knew. */
-    boolean fresh() {
+    @Override
+    public boolean fresh() {
         return generation >= 0;
     }
 
     /** Takes over what the configuration knew, if anything, and asks for the rest from now on. */
-    void start(Optional<JsonNode> known) {
+    @Override
+    public void start(Lists told) {
+        lists = told;
         known.ifPresent(list -> take(list, true));
         ask("/v1/servers", 0);
     }
@@ -71,7 +68,7 @@
      * Asks another agent from now on. Its generations are of another reckoning, so it begins with the whole
      * list; what the old one might still say is not waited for.
      */
-    void moveTo(Agent other) {
+    public void moveTo(Agent other) {
         agent.close();
         pause.ifPresent(p -> p.cancel(false));
         agent = other;
--- a/src/main/java/kestreldeal/net/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.front.http;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -46,8 +46,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import kestreldeal.BadInput;
-import kestreldeal.trace.Trace;
+import slipfield.config.BadInput;
+import slipfield.core.Desk;
+import slipfield.core.Front;
+import slipfield.journal.Claim;
+import slipfield.journal.Held;
+import slipfield.log.Log;
+import slipfield.trace.Trace;
 
 /**
  * The client side: checks what is handed in, and answers it. A message is journalled before its 202 is
@@ -58,7 +63,7 @@
  * byte, the first request of a connection so long after connecting, and one between requests is kept for a
  * while only. When there are too many, those that never asked anything make room first.
  */
-final class Intake {
+public final class Intake implements Front {
     private static final int LONGEST_BODY = 64 * 1024;
     /** The id goes into the journal and on to endpoints; one that is longer is no id. */
     private static final int LONGEST_ID = 256;
@@ -87,49 +92,9 @@
     /** Most bytes of one read: what a client has sent at once is a piece of work too. */
     private static final int LONGEST_READ = 16 * 1024;
 
-    /** What a request asks to be delivered. */
-    record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
-                      long budgetMs, byte[] body) {
-    }
-
-    /** What became of a submission: it is held, or refused, with the time to come back after, or 0. */
-    record Taking(Optional<Held> held, String reason, long waitMs) {
-        static Taking taken(Held held) {
-            return new Taking(Optional.of(held), "", 0);
-        }
-
-        static Taking refused(String reason, long waitMs) {
-            return new Taking(Optional.empty(), reason, waitMs);
-        }
-    }
-
-    /** The sender's side of a request. */
-    interface Desk {
-        /** Whether messages can be taken now. */
-        boolean ready();
-
-        /** Whether the module knows this class; the path names it too. */
-        boolean knowsClass(String name);
-
-        boolean knowsTenant(String name);
-
-        boolean needsKey(String messageClass);
-
-        /** Whether a list has ever named this destination, be its endpoints away or not. */
-        boolean knowsDestination(long destination);
-
-        /** How a message with this id was answered before, if one is held, or was until a moment ago. */
-        Optional<HttpResponseStatus> answeredBefore(String id);
-
-        /** Journals a message, or refuses it. */
-        Taking take(Submission submission);
-
-        /** The client has heard that it was taken, or never will. */
-        void answered(Held held, boolean heard);
-    }
-
     private final EventLoop loop;
     private final Desk desk;
+    private final InetSocketAddress address;
     private final int mostClients;
     /** The connections in each state, those that are in it longest first. */
     private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
@@ -144,7 +109,9 @@
     private record Pending(Client client, ChannelHandlerContext ctx, Object bytes) {
     }
 
-    Intake(EventLoop loop, int mostClients, Desk desk) {
+    /** Will listen at this address, with so many connections of clients at most. */
+    public Intake(EventLoop loop, InetSocketAddress address, int mostClients, Desk desk) {
+        this.address = address;
         this.loop = loop;
         this.desk = desk;
         this.mostClients = mostClients;
@@ -174,12 +141,12 @@
     }
 
     /** Accounts for the reading of requests from now on. */
-    void traced(Trace by) {
+    public void traced(Trace by) {
         trace = by;
     }
 
     /** Answers these bytes as a client's on a connection in memory: the way of every request, with no socket. */
-    void rehearse(byte[] requests) {
+    public void rehearse(byte[] requests) {
         EmbeddedChannel memory = new EmbeddedChannel();
         handle(memory);
         memory.pipeline().fireChannelActive();
@@ -190,8 +157,8 @@
         memory.finishAndReleaseAll();
     }
 
-    /** Begins to listen, and waits until it does: so it is not called on the loop. */
-    InetSocketAddress listen(InetSocketAddress address) {
+    @Override
+    public InetSocketAddress listen() {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         listener = bootstrap.bind(address).syncUninterruptibly().channel();
         return (InetSocketAddress) listener.localAddress();
@@ -201,7 +168,8 @@
      * Takes no new connection, and ends each that stands with the answer to its next request. None is closed
      * between requests: one that is on its way to it would be ended without an answer.
      */
-    void close() {
+    @Override
+    public void close() {
         closing = true;
         listener.close();
     }
@@ -250,8 +218,8 @@
         }
     }
 
-    /** Connections that clients have open. */
-    int clients() {
+    @Override
+    public int clients() {
         return clients.values().stream().mapToInt(Set::size).sum();
     }
 
@@ -479,16 +447,17 @@
         }
 
         private void handIn(FullHttpRequest request, String path) {
-            Submission submission;
+            Desk.Submission submission;
             try {
                 submission = read(request, path.split("/", 3)[1]);
             } catch (BadInput bad) {
                 end(request, HttpResponseStatus.BAD_REQUEST, bad.getMessage());
                 return;
             }
-            Optional<HttpResponseStatus> before = desk.answeredBefore(submission.id());
+            Optional<Desk.Known> before = desk.before(submission.id(), submission.claim());
             if (before.isPresent()) {
-                end(request, before.get(), "");
+                end(request, before.get() == Desk.Known.ENDED ? HttpResponseStatus.CONFLICT
+                        : HttpResponseStatus.ACCEPTED, "");
                 return;
             }
             if (!desk.knowsDestination(submission.destination())) {
@@ -499,7 +468,7 @@
             if (state == State.VISITING) {
                 enter(State.IDLE);
             }
-            Taking taking = desk.take(submission);
+            Desk.Taking taking = desk.take(submission);
             if (taking.held().isPresent()) {
                 Held held = taking.held().get();
                 end(request, HttpResponseStatus.ACCEPTED, "").addListener(f -> desk.answered(held, f.isSuccess()));
@@ -552,7 +521,7 @@
         return answer;
     }
 
-    private Submission read(FullHttpRequest request, String inPath) throws BadInput {
+    private Desk.Submission read(FullHttpRequest request, String inPath) throws BadInput {
         HttpHeaders headers = request.headers();
         String id = required(headers, "X-Call-Id");
         if (id.length() > LONGEST_ID) {
@@ -577,8 +546,8 @@
         String destination = Arrays.stream(required(headers, "X-Envelope").split("[,;\\s]+"))
                 .filter(part -> part.startsWith("dest=")).findFirst()
                 .orElseThrow(() -> new BadInput("X-Envelope names no dest")).substring("dest=".length());
-        return new Submission(id, messageClass, tenant, key, whole(destination, "dest"), budgetMs,
-                ByteBufUtil.getBytes(request.content()));
+        return new Desk.Submission(id, messageClass, tenant, key, whole(destination, "dest"), budgetMs,
+                ByteBufUtil.getBytes(request.content()), Claim.PLATFORM);
     }
 
     private static String required(HttpHeaders headers, String name) throws BadInput {
--- /dev/null
+++ b/src/main/java/slipfield/journal/Held.java
@@ -0,0 +1,80 @@
+package slipfield.journal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A message that this sender has taken on, with all that its journal must know of it: who may send it again,
+ * and how, is decided from this after a restart.
+ */
+public final class Held {
+    public final long number;
+    public final String id;
+    public final String messageClass;
+    public final String tenant;
+    public final Optional<String> key;
+    public final long destination;
+    /** Wall time, since it must hold in a later life. */
+    public final long deadlineMs;
+    public final byte[] body;
+    public final List<Attempt> attempts = new ArrayList<>();
+    /** Who has still to hear of its end; those who heard are taken off. */
+    public final List<Claim> claims = new ArrayList<>(1);
+    public Optional<Notice> owed = Optional.empty();
+    /** Since when this life holds it, by the wall clock. */
+    public final long takenMs = System.currentTimeMillis();
+    /** When it was ended by a notice, by the wall clock; 0: not in this life. Like {@link #takenMs} for the trace. */
+    public long endedMs;
+    /** Bytes of its records in the journal. */
+    long bytes;
+    /** Its client has heard that it was taken; what comes back from the journal counts as heard. */
+    public boolean told;
+    /** Nothing may be sent for it any more: delivered, over, or ended by a notice. */
+    public boolean over;
+
+    /** An attempt; it may have run unless its end proved otherwise, whatever became of this process. */
+    public static final class Attempt {
+        public final String endpoint;
+        public final long sentAtMs;
+        public boolean neverRan;
+
+        public Attempt(String endpoint, long sentAtMs) {
+            this.endpoint = endpoint;
+            this.sentAtMs = sentAtMs;
+        }
+    }
+
+    /** How a message ended. */
+    public enum End {
+        /** Refused, with the time to come back where there is one. */
+        REFUSED,
+        /** Given up, with no promise about its effect. */
+        FAILED,
+        /** Delivered. */
+        DELIVERED
+    }
+
+    /** The end that claimants must still hear of; {@code waitMs}: the time to come back after, or 0. */
+    public record Notice(End end, double waitMs) {
+    }
+
+    public Held(long number, String id, String messageClass, String tenant, Optional<String> key, long destination,
+            long deadlineMs, byte[] body, Claim claim) {
+        this.number = number;
+        this.id = id;
+        this.messageClass = messageClass;
+        this.tenant = tenant;
+        this.key = key;
+        this.destination = destination;
+        this.deadlineMs = deadlineMs;
+        this.body = body;
+        this.claims.add(claim);
+    }
+
+    /** A message that the platform has to hear of alone. */
+    public Held(long number, String id, String messageClass, String tenant, Optional<String> key, long destination,
+            long deadlineMs, byte[] body) {
+        this(number, id, messageClass, tenant, key, destination, deadlineMs, body, Claim.PLATFORM);
+    }
+}
--- a/src/main/java/kestreldeal/net/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.journal;
 
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -20,8 +20,9 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.zip.CRC32;
-import kestreldeal.Relay;
-import kestreldeal.trace.Trace;
+import slipfield.log.Log;
+import slipfield.policy.Relay;
+import slipfield.trace.Trace;
 
 /**
  * What this sender has taken on, in a file that outlasts its process. Records are appended, each with its
@@ -32,7 +33,7 @@
  * beside the file, the live records are written to a new file, which then takes the old one's place. New
  * messages are turned away while what is live, with the records that it may still need, fills half the bound.
  */
-final class Journal implements AutoCloseable {
+public final class Journal implements AutoCloseable {
     private static final int TAKEN = 1;
     private static final int ATTEMPT = 2;
     private static final int NEVER_RAN = 3;
@@ -46,10 +47,16 @@
     private static final int PACE = 9;
     /** The reckoning of time of the records behind it. */
     private static final int CLOCK = 10;
+    /** Somebody else than the platform, or besides it, has to hear of a message's end. */
+    private static final int CLAIMED = 11;
+    /** A claimant has heard of it; others have not yet. */
+    private static final int HEARD = 12;
+    /** A delivery that a claimant still has to hear of. */
+    private static final int OWED_DELIVERED = 13;
     /** Length and checksum. */
-    static final int HEAD = 12;
+    public static final int HEAD = 12;
     /** Longest record that is believed: a longer one is a torn or foreign length. */
-    static final int LONGEST = 1 << 20;
+    public static final int LONGEST = 1 << 20;
     /** Room for the later records of a message: for each attempt, and for its end. */
     private static final int ATTEMPT_ROOM = 128;
     private static final int END_ROOM = 64;
@@ -63,7 +70,7 @@
     private static final String UNKNOWN = "";
 
     /** How a file is opened; tests stand in for a disk that fails. */
-    interface Opener {
+    public interface Opener {
         FileChannel open(Path file, StandardOpenOption... options) throws IOException;
     }
 
@@ -87,12 +94,12 @@
     /** Absent unless the sender is traced. */
     private Trace trace;
 
-    Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
+    public Journal(Path folder, long diskBytes, int maxAttempts) throws IOException {
         this(folder, diskBytes, maxAttempts, LifeClock.system().mark(), FileChannel::open);
     }
 
     /** Times of earlier lives are moved to this life's reckoning as they are read. */
-    Journal(Path folder, long diskBytes, int maxAttempts, LifeClock.Mark clock, Opener opener) throws IOException {
+    public Journal(Path folder, long diskBytes, int maxAttempts, LifeClock.Mark clock, Opener opener) throws IOException {
         this.opener = opener;
         this.clock = clock;
         this.file = folder.resolve("journal");
@@ -115,18 +122,18 @@
     }
 
     /** What was held when the last process ended, in the order taken. */
-    List<Held> held() {
+    public List<Held> held() {
         return new ArrayList<>(live.values());
     }
 
     /** A number for the next message, above all that were used. */
-    long nextNumber() {
+    public long nextNumber() {
         return numbers++;
     }
 
     /** Takes a message on, or throws: then it must be refused. */
-    void taken(Held held) throws IOException {
-        byte[] record = record(takenRecord(held));
+    public void taken(Held held) throws IOException {
+        byte[] record = takenRecords(held);
         long needed = liveBytes + record.length + messageRoom * (live.size() + 1L);
         if (2 * needed > bound) {
             throw new IOException("the journal has no room for another message");
@@ -136,31 +143,51 @@
     }
 
     /** An attempt is about to be made; it counts as one that may have run from here on. */
-    void attempt(Held held, Held.Attempt attempt) throws IOException {
+    public void attempt(Held held, Held.Attempt attempt) throws IOException {
         append(held, record(attemptRecord(held, attempt)));
         held.attempts.add(attempt);
     }
 
     /** An end proved that the attempt never ran; if this is lost, it counts as one that may have. */
-    void neverRan(Held held, int attempt) throws IOException {
+    public void neverRan(Held held, int attempt) throws IOException {
         held.attempts.get(attempt).neverRan = true;
         append(held, record(neverRanRecord(held, attempt)));
     }
 
     /** The message has ended by a notice that is still to be heard. */
-    void owed(Held held, Held.Notice notice) throws IOException {
+    public void owed(Held held, Held.Notice notice) throws IOException {
         held.owed = Optional.of(notice);
         append(held, record(owedRecord(held, notice)));
     }
 
+    /** One more has to hear of a held message's end. */
+    public void claimed(Held held, Claim claim) throws IOException {
+        append(held, record(claimedRecord(held, claim, false)));
+        held.claims.add(claim);
+    }
+
+    /** A claimant has heard of the message's end, or asks for it no more; an end that all have heard is over. */
+    public void heard(Held held, Claim claim) throws IOException {
+        held.claims.remove(claim);
+        if (held.claims.isEmpty() && held.owed.isPresent()) {
+            ended(held);
+        } else {
+            append(held, record(heardRecord(held, claim)));
+        }
+    }
+
     /** Nothing more is owed for the message; its id is known for a while. */
-    void ended(Held held) throws IOException {
+    public void ended(Held held) throws IOException {
         end(held, ENDED);
-        known(held.id, held.owed.isEmpty());
+        known(held.id, delivered(held));
+    }
+
+    private static boolean delivered(Held held) {
+        return held.owed.isEmpty() || held.owed.get().end() == Held.End.DELIVERED;
     }
 
     /** The message was never taken on in its client's eyes, and its id means nothing. */
-    void withdrawn(Held held) throws IOException {
+    public void withdrawn(Held held) throws IOException {
         end(held, WITHDRAWN);
     }
 
@@ -175,7 +202,7 @@
     }
 
     /** Ids of messages that were over when the last process ended, the oldest first; true where delivered. */
-    Map<String, Boolean> over() {
+    public Map<String, Boolean> over() {
         return new LinkedHashMap<>(over);
     }
 
@@ -201,18 +228,18 @@
     }
 
     /** A destination, and one of its endpoints where these have limits of their own, else an empty name. */
-    record PaceOf(long destination, String route) {
+    public record PaceOf(long destination, String route) {
     }
 
     /** A pace has changed; one that is unbounded takes up no room. */
-    void pace(PaceOf of, Relay.Pace now) throws IOException {
+    public void pace(PaceOf of, Relay.Pace now) throws IOException {
         byte[] record = record(paceRecord(of, now));
         write(record);
         keep(of, now, record.length);
     }
 
     /** The paces that were known when the last process ended. */
-    Map<PaceOf, Relay.Pace> paces() {
+    public Map<PaceOf, Relay.Pace> paces() {
         return new LinkedHashMap<>(paces);
     }
 
@@ -226,18 +253,18 @@
     }
 
     /** An endpoint's state, since when on the wall clock, and the rate that it carried before. */
-    record Health(Relay.State state, long sinceMs, double carriedPerMs) {
+    public record Health(Relay.State state, long sinceMs, double carriedPerMs) {
     }
 
     /** What is known of an endpoint has changed; one that is in service, or forgotten, takes up no room. */
-    void health(String endpoint, Health now) throws IOException {
+    public void health(String endpoint, Health now) throws IOException {
         byte[] record = record(healthRecord(endpoint, now));
         write(record);
         keep(endpoint, now, record.length);
     }
 
     /** What was known when the last process ended, of endpoints that were not in service. */
-    Map<String, Health> health() {
+    public Map<String, Health> health() {
         return new TreeMap<>(health);
     }
 
@@ -250,7 +277,7 @@
     }
 
     /** Bytes of the file now. */
-    long size() {
+    public long size() {
         return size;
     }
 
@@ -285,7 +312,7 @@
         }
     }
 
-    static long checksum(byte[] bytes, int from, int length) {
+    public static long checksum(byte[] bytes, int from, int length) {
         CRC32 crc = new CRC32();
         crc.update(bytes, from, length);
         return crc.getValue();
@@ -307,6 +334,52 @@
         };
     }
 
+    /** In one piece: a message whose claim were cut off would be told to the platform alone. */
+    private static byte[] takenRecords(Held held) {
+        byte[] taken = record(takenRecord(held));
+        if (held.claims.equals(List.of(Claim.PLATFORM))) {
+            return taken;
+        }
+        ByteArrayOutputStream all = new ByteArrayOutputStream(taken.length + 64);
+        all.writeBytes(taken);
+        if (held.claims.isEmpty()) {
+            all.writeBytes(record(heardRecord(held, Claim.PLATFORM)));
+        }
+        for (int i = 0; i < held.claims.size(); i++) {
+            all.writeBytes(record(claimedRecord(held, held.claims.get(i), i == 0)));
+        }
+        return all.toByteArray();
+    }
+
+    /** {@code alone}: in place of the platform, which else has to hear of each message. */
+    private static Body claimedRecord(Held held, Claim claim, boolean alone) {
+        return out -> {
+            out.writeByte(CLAIMED);
+            out.writeLong(held.number);
+            out.writeBoolean(alone);
+            write(claim, out);
+        };
+    }
+
+    private static Body heardRecord(Held held, Claim claim) {
+        return out -> {
+            out.writeByte(HEARD);
+            out.writeLong(held.number);
+            write(claim, out);
+        };
+    }
+
+    private static void write(Claim claim, DataOutputStream out) throws IOException {
+        out.writeUTF(claim.outcome());
+        out.writeUTF(claim.peer());
+        out.writeBoolean(claim.delivered());
+        out.writeBoolean(claim.keep());
+    }
+
+    private static Claim claim(DataInputStream in) throws IOException {
+        return new Claim(in.readUTF(), in.readUTF(), in.readBoolean(), in.readBoolean());
+    }
+
     private static Body attemptRecord(Held held, Held.Attempt attempt) {
         return out -> {
             out.writeByte(ATTEMPT);
@@ -326,10 +399,13 @@
 
     private static Body owedRecord(Held held, Held.Notice notice) {
         return out -> {
-            out.writeByte(OWED);
+            boolean delivered = notice.end() == Held.End.DELIVERED;
+            out.writeByte(delivered ? OWED_DELIVERED : OWED);
             out.writeLong(held.number);
-            out.writeBoolean(notice.bounced());
-            out.writeDouble(notice.waitMs());
+            if (!delivered) {
+                out.writeBoolean(notice.end() == Held.End.REFUSED);
+                out.writeDouble(notice.waitMs());
+            }
         };
     }
 
@@ -380,7 +456,7 @@
     }
 
     /** Accounts for the writing of records from now on. */
-    void traced(Trace by) {
+    public void traced(Trace by) {
         trace = by;
     }
 
@@ -435,7 +511,7 @@
             bytes.write(record(overRecord(known.getKey(), known.getValue())));
         }
         for (Held held : live.values()) {
-            bytes.write(record(takenRecord(held)));
+            bytes.write(takenRecords(held));
             for (int i = 0; i < held.attempts.size(); i++) {
                 bytes.write(record(attemptRecord(held, held.attempts.get(i))));
                 if (held.attempts.get(i).neverRan) {
@@ -572,14 +648,27 @@
             case ATTEMPT -> held.attempts.add(new Held.Attempt(in.readUTF(), moved(in.readLong())));
             case NEVER_RAN -> held.attempts.get(in.readInt()).neverRan = true;
             case OWED -> {
-                held.owed = Optional.of(new Held.Notice(in.readBoolean(), in.readDouble()));
+                held.owed = Optional.of(new Held.Notice(in.readBoolean() ? Held.End.REFUSED : Held.End.FAILED,
+                        in.readDouble()));
                 held.over = true;
             }
+            case OWED_DELIVERED -> {
+                held.owed = Optional.of(new Held.Notice(Held.End.DELIVERED, 0));
+                held.claims.removeIf(c -> !c.delivered());
+                held.over = true;
+            }
+            case CLAIMED -> {
+                if (in.readBoolean()) {
+                    held.claims.clear();
+                }
+                held.claims.add(claim(in));
+            }
+            case HEARD -> held.claims.remove(claim(in));
             case ENDED, WITHDRAWN -> {
                 live.remove(number);
                 liveBytes -= held.bytes;
                 if (type == ENDED) {
-                    known(held.id, held.owed.isEmpty());
+                    known(held.id, delivered(held));
                 }
                 return;
             }
--- a/src/main/java/kestreldeal/net/LifeClock.java
+++ b/src/main/java/slipfield/journal/LifeClock.java
@@ -1,15 +1,16 @@
-package kestreldeal.net;
+package slipfield.journal;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import slipfield.log.Log;
 
 /**
  * The wall clock as it stood when this life began, going on evenly from there: one that is set back or on
  * meanwhile moves no deadline. Beside it the machine's own time since boot, by which the next life can tell how
  * far the wall clock was moved between the two.
  */
-final class LifeClock {
+public final class LifeClock {
     private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
 
     private final long wallStart;
@@ -18,7 +19,7 @@
     private final long boot;
 
     /** What the system's clocks say; {@code boot} is 0 where boots can't be told apart. */
-    LifeClock(long wallMs, long monoMs, long boot) {
+    public LifeClock(long wallMs, long monoMs, long boot) {
         this.wallStart = wallMs;
         this.nanoStart = System.nanoTime();
         this.monoStart = monoMs;
@@ -26,7 +27,7 @@
     }
 
     /** The system's clocks now. */
-    static LifeClock system() {
+    public static LifeClock system() {
         long boot = 0;
         try {
             // On Linux nanoTime counts from boot, so it goes on in the next process.
@@ -39,17 +40,17 @@
     }
 
     /** Milliseconds since 1970, by this life's reckoning. */
-    long wallMs() {
+    public long wallMs() {
         return wallStart + (System.nanoTime() - nanoStart) / 1_000_000;
     }
 
     /** What the next life needs to know of this reckoning. */
-    Mark mark() {
+    public Mark mark() {
         return new Mark(wallStart, monoStart, boot);
     }
 
     /** A reckoning: the wall clock at a moment of the time since boot. */
-    record Mark(long wallMs, long monoMs, long boot) {
+    public record Mark(long wallMs, long monoMs, long boot) {
         /** What to add to a time of that reckoning for it to be of this one; 0 where that can't be told. */
         long shiftTo(Mark now) {
             return boot == 0 || boot != now.boot ? 0 : now.wallMs - now.monoMs - (wallMs - monoMs);
--- /dev/null
+++ b/src/main/java/slipfield/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Lines for the people on call. Uses nothing.
+ */
+package slipfield.log;
--- a/src/main/java/kestreldeal/net/Notices.java
+++ b/src/main/java/slipfield/outcome/Notices.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.outcome;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -19,6 +19,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import slipfield.agent.Agent;
+import slipfield.core.Outcome;
+import slipfield.journal.Held;
+import slipfield.journal.Owed;
+import slipfield.log.Log;
 
 /**
  * Notices to the platform of messages that ended undelivered, each sent again until it was heard. Hearing one
@@ -27,7 +32,7 @@
  * that none waits for the answer to those before it. Guards against a loop that is late: each answer takes it
  * another round.
  */
-final class Notices {
+public final class Notices implements Outcome {
     private static final int MOST_IN_BATCH = 1000;
     /** A body holds 64 KiB at most. */
     private static final int LONGEST_BATCH = 60_000;
@@ -37,17 +42,17 @@
 
     private final EventLoop loop;
     private Supplier<Agent> agents;
-    private final Consumer<Held> heard;
+    private final Consumer<Owed> heard;
     private final ObjectMapper json = JsonMapper.builder().build();
     /** What is in no batch that is out. */
-    private final Deque<Held> owed = new ArrayDeque<>();
+    private final Deque<Owed> owed = new ArrayDeque<>();
     private final List<Lane> lanes = new ArrayList<>();
     private int most = MOST_IN_BATCH;
 
     /** A connection, and whether it can take a batch. */
     private static final class Lane {
         private final Agent agent;
-        private List<Held> batch = List.of();
+        private List<Owed> batch = List.of();
         private boolean rests;
 
         Lane(Agent agent) {
@@ -55,19 +60,20 @@
         }
     }
 
-    Notices(EventLoop loop, Supplier<Agent> agents, Consumer<Held> heard) {
+    public Notices(EventLoop loop, Supplier<Agent> agents, Consumer<Owed> heard) {
         this.loop = loop;
         this.agents = agents;
         this.heard = heard;
     }
 
-    /** Owes the platform this message's notice, from the next {@link #flush} on. */
-    void owe(Held held) {
-        owed.add(held);
+    @Override
+    public void owe(Owed answer) {
+        owed.add(answer);
     }
 
     /** Sends what is owed, as far as there is a connection without a batch. */
-    void flush() {
+    @Override
+    public void flush() {
         while (!owed.isEmpty()) {
             Lane lane = freeLane();
             if (lane == null) {
@@ -92,7 +98,7 @@
     }
 
     /** Tells another agent from now on, at once, also what the old one was told and has not answered. */
-    void moveTo(Supplier<Agent> others) {
+    public void moveTo(Supplier<Agent> others) {
         agents = others;
         for (Lane lane : lanes) {
             lane.agent.close();
@@ -109,8 +115,8 @@
         lane.batch = List.of();
     }
 
-    /** Notices that were not heard yet. */
-    int owed() {
+    @Override
+    public int owed() {
         int out = 0;
         for (Lane lane : lanes) {
             out += lane.batch.size();
@@ -119,7 +125,7 @@
     }
 
     private void post(Lane lane) {
-        List<Held> batch = new ArrayList<>();
+        List<Owed> batch = new ArrayList<>();
         StringBuilder lines = new StringBuilder();
         while (!owed.isEmpty() && batch.size() < most) {
             String line = line(owed.peek());
@@ -136,12 +142,14 @@
         lane.agent.ask(request, LIMIT_MS, answer -> answered(lane, answer));
     }
 
-    private String line(Held held) {
+    private String line(Owed answer) {
+        Held held = answer.held();
         Held.Notice notice = held.owed.orElseThrow();
+        boolean refused = notice.end() == Held.End.REFUSED;
         ObjectNode line = json.createObjectNode();
         line.put("ref", held.id);
-        line.put("result", notice.bounced() ? "bounced" : "dead");
-        if (notice.bounced() && notice.waitMs() > 0) {
+        line.put("result", refused ? "bounced" : "dead");
+        if (refused && notice.waitMs() > 0) {
             line.put("wait_ms", Math.round(notice.waitMs()));
         }
         return line.toString();
@@ -150,7 +158,7 @@
     private void answered(Lane lane, Optional<FullHttpResponse> answer) {
         int status = answer.map(a -> a.status().code()).orElse(0);
         if (status == 204) {
-            List<Held> told = lane.batch;
+            List<Owed> told = lane.batch;
             lane.batch = List.of();
             most = MOST_IN_BATCH;
             told.forEach(heard);
--- a/src/main/java/kestreldeal/Logic.java
+++ b/src/main/java/slipfield/policy/Logic.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield.policy;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/kestreldeal/recovery/Plan.java
+++ b/src/main/java/slipfield/recovery/Plan.java
@@ -1,4 +1,4 @@
-package kestreldeal.recovery;
+package slipfield.recovery;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/kestreldeal/Drill.java
+++ b/src/main/java/slipfield/sim/Drill.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield.sim;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -13,9 +13,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import slipfield.config.BadInput;
+import slipfield.config.Params;
+import slipfield.policy.Relay;
 
 /** The adapter: the simulator's wire to {@link Relay} and back, for many instances. It decides nothing. */
-final class Drill {
+public final class Drill {
     private final BufferedReader in;
     private final PrintStream out;
     private final PrintStream err;
@@ -26,14 +29,14 @@
     private long lineNumber;
     private double now;
 
-    Drill(InputStream in, PrintStream out, PrintStream err) {
+    public Drill(InputStream in, PrintStream out, PrintStream err) {
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         this.out = out;
         this.err = err;
     }
 
     /** Answers batches until input ends; returns the exit code: 0, or 1 after input that can't be read. */
-    int run() {
+    public int run() {
         try {
             for (String line = nextLine(); line != null; line = nextLine()) {
                 if (!line.isEmpty()) {
--- a/src/test/java/kestreldeal/net/Stub.java
+++ b/src/main/java/slipfield/standin/Stub.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.standin;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -19,47 +19,54 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
-/** A scripted HTTP server on a loopback socket, and the plain client side, for tests. */
-final class Stub implements AutoCloseable {
+/** A scripted HTTP server on a loopback socket, and the plain client side: each step of it is in the script's hand. */
+public final class Stub implements AutoCloseable {
     /** A request or an answer; {@code connection} numbers those of one server. */
-    record Message(String line, Map<String, String> headers, String body, int connection, long atNanos) {
-        String header(String name) {
+    public record Message(String line, Map<String, String> headers, String body, int connection, long atNanos) {
+        /** The value of a header, by its name in any case. */
+        public String header(String name) {
             return headers.get(name.toLowerCase(Locale.ROOT));
         }
     }
 
     /** What is done when a request has come: write to the socket, close it, or nothing. */
-    interface Script {
+    public interface Script {
+        /** A request has come. */
         void come(Message request, Socket socket) throws Exception;
     }
 
-    final List<Message> requests = new CopyOnWriteArrayList<>();
+    /** What has come, in order. */
+    public final List<Message> requests = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile Script script;
     private int connections;
     private final AtomicInteger ended = new AtomicInteger();
 
-    Stub(Script script) throws IOException {
+    /** Listens on a free port, and does this with each request. */
+    public Stub(Script script) throws IOException {
         this.script = script;
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         daemon(this::accept);
     }
 
-    void script(Script next) {
+    /** From now on this is done. */
+    public void script(Script next) {
         script = next;
     }
 
-    InetSocketAddress address() {
+    /** Where it listens. */
+    public InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
 
-    String hostPort() {
+    /** The same as text. */
+    public String hostPort() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
     /** Connections that the other side has ended. */
-    int ended() {
+    public int ended() {
         return ended.get();
     }
 
@@ -78,7 +85,7 @@
                 daemon(() -> serve(socket, number));
             }
         } catch (IOException closed) {
-            // The test is over.
+            // Its time is over.
         }
     }
 
@@ -97,7 +104,7 @@
     }
 
     /** Reads one message with a content length; null at the end of the stream. */
-    static Message read(InputStream in, int number) throws IOException {
+    public static Message read(InputStream in, int number) throws IOException {
         String line = line(in);
         if (line == null) {
             return null;
@@ -123,30 +130,32 @@
         return line.toString(StandardCharsets.ISO_8859_1).trim();
     }
 
-    static void write(Socket socket, String text) throws IOException {
+    /** Writes this text. */
+    public static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
     }
 
     /** Writes this on every connection. */
-    void answerAll(String text) throws IOException {
+    public void answerAll(String text) throws IOException {
         for (Socket socket : sockets) {
             write(socket, text);
         }
     }
 
     /** Answers with a status and further header lines, each closed by a line end. */
-    static Script status(int status, String headers) {
+    public static Script status(int status, String headers) {
         return (request, socket) -> write(socket, "HTTP/1.1 " + status + " x\r\n" + headers
                 + "Content-Length: 0\r\n\r\n");
     }
 
-    static Script silent() {
+    /** Never answers. */
+    public static Script silent() {
         return (request, socket) -> { };
     }
 
     /** Waits for something that must come about; how soon does not matter. */
-    static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    public static void await(String what, BooleanSupplier condition) throws InterruptedException {
         long end = System.nanoTime() + 30_000_000_000L;
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > end) {
--- a/src/main/java/kestreldeal/trace/Trace.java
+++ b/src/main/java/slipfield/trace/Trace.java
@@ -1,4 +1,4 @@
-package kestreldeal.trace;
+package slipfield.trace;
 
 import java.io.IOException;
 import java.io.PrintStream;
--- a/src/main/java/kestreldeal/trace/package-info.java
+++ b/src/main/java/slipfield/trace/package-info.java
@@ -3,4 +3,4 @@
  * a system property and costs nothing when off: its callers ask a constant before they name a class of it. It
  * uses nothing of the project.
  */
-package kestreldeal.trace;
+package slipfield.trace;
--- a/src/main/java/kestreldeal/net/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.transport.http;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -37,15 +37,19 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import kestreldeal.Params;
-import kestreldeal.Relay.Outcome;
-import kestreldeal.trace.Trace;
+import slipfield.config.Config;
+import slipfield.config.Params;
+import slipfield.core.Transport;
+import slipfield.journal.Held;
+import slipfield.log.Log;
+import slipfield.policy.Relay.Outcome;
+import slipfield.trace.Trace;
 
 /**
  * Calls to endpoints and the connections that they go over: one call each, kept for the next, the newest
  * idle one first. Each call gets one end, never during the call of {@link #call} or {@link #cancel}.
  */
-final class Endpoints {
+public final class Endpoints implements Transport {
     /** Idle connections are dropped at this share of the time after which an endpoint drops them. */
     private static final double IDLE_SHARE = 0.8;
     private static final long SWEEP_MS = 500;
@@ -59,14 +63,6 @@
     /** Longest wait that is believed: no message is held for so long. */
     private static final double LONGEST_WAIT_MS = 60_000;
 
-    /**
-     * Told of the end of each call; {@code gone}: the message is over, whatever else is true; {@code toldRate}:
-     * the calls a second that the destination says it takes, or 0.
-     */
-    interface Ends {
-        void ended(Call call, Outcome outcome, boolean gone, double waitMs, double toldRate);
-    }
-
     private final EventLoop loop;
     private final Ends ends;
     private final Bootstrap bootstrap;
@@ -77,7 +73,7 @@
     /** Absent unless the sender is traced. */
     private Trace trace;
 
-    Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
+    public Endpoints(EventLoop loop, double dialMs, double keepAliveMs, int mostIdle, Ends ends) {
         this.loop = loop;
         this.ends = ends;
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
@@ -101,12 +97,13 @@
     }
 
     /** Closes idle connections in time, from now on. */
-    void start() {
+    @Override
+    public void start() {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** A call of this message, with this answer, on a connection in memory: all but the socket. */
-    void rehearse(Held held, byte[] answer) {
+    public void rehearse(Held held, byte[] answer) {
         Peer peer = new Peer();
         peer.address = InetSocketAddress.createUnresolved("rehearsal", 1);
         Call call = new Call(held, 0, peer, 1000);
@@ -121,7 +118,8 @@
     }
 
     /** An endpoint is at this address from now on; connections to another one are of no more use. */
-    void at(long endpoint, InetSocketAddress address, boolean serving) {
+    @Override
+    public void at(long endpoint, InetSocketAddress address, boolean serving) {
         Peer peer = peers.computeIfAbsent(endpoint, e -> new Peer());
         if (!serving || !address.equals(peer.address)) {
             closeIdle(endpoint);
@@ -131,7 +129,8 @@
     }
 
     /** Nothing new may go there, be it decided already: a call that waits to be connected is not made. */
-    void stop(long endpoint) {
+    @Override
+    public void stop(long endpoint) {
         Peer peer = peers.get(endpoint);
         if (peer != null) {
             peer.serving = false;
@@ -140,7 +139,8 @@
     }
 
     /** An endpoint has been gone for long: its connections are closed, those of calls out once they end. */
-    void forget(long endpoint) {
+    @Override
+    public void forget(long endpoint) {
         closeIdle(endpoint);
         Peer peer = peers.remove(endpoint);
         if (peer != null) {
@@ -150,7 +150,7 @@
     }
 
     /** Endpoints that are known. */
-    int known() {
+    public int known() {
         return peers.size();
     }
 
@@ -159,9 +159,10 @@
      * decided: where a turn takes long, a message whose time-out ends with its time would else be ended as late
      * as the call was made, and its notice come too late.
      */
-    Call call(Held held, int attempt, long endpoint, double timeoutMs, long decidedNanos) {
+    @Override
+    public Attempt attempt(Held held, int number, long endpoint, double timeoutMs, long decidedNanos) {
         double leftMs = Math.max(0, timeoutMs - (System.nanoTime() - decidedNanos) / 1e6);
-        Call call = new Call(held, attempt, peers.get(endpoint), leftMs);
+        Call call = new Call(held, number, peers.get(endpoint), leftMs);
         call.timer = loop.schedule(call::timedOut, (long) Math.ceil(leftMs * 1000), TimeUnit.MICROSECONDS);
         Connection kept = call.peer.newestIdle();
         if (kept != null) {
@@ -185,17 +186,12 @@
     }
 
     /** Accounts for connecting and for answers from now on. */
-    void traced(Trace by) {
+    public void traced(Trace by) {
         trace = by;
     }
 
-    /** Stops waiting for a call, by closing its connection. */
-    void cancel(Call call) {
-        call.end(Outcome.CANCELLED);
-        call.close();
-    }
-
-    void closeIdle(long endpoint) {
+    @Override
+    public void closeIdle(long endpoint) {
         Peer peer = peers.get(endpoint);
         if (peer != null && !peer.idle.isEmpty()) {
             new ArrayList<>(peer.idle).forEach(Connection::close);
@@ -203,7 +199,7 @@
     }
 
     /** Idle connections that are kept. */
-    int kept() {
+    public int kept() {
         return idle;
     }
 
@@ -235,10 +231,10 @@
     }
 
     /** One attempt on its way. */
-    final class Call {
-        final Held held;
-        final int attempt;
-        final long startedNanos = System.nanoTime();
+    private final class Call implements Attempt {
+        private final Held held;
+        private final int number;
+        private final long startedNanos = System.nanoTime();
         private final Peer peer;
         private final double timeoutMs;
         private Future<?> timer;
@@ -248,13 +244,35 @@
         private boolean done;
         private double toldRate;
 
-        private Call(Held held, int attempt, Peer peer, double timeoutMs) {
+        private Call(Held held, int number, Peer peer, double timeoutMs) {
             this.held = held;
-            this.attempt = attempt;
+            this.number = number;
             this.peer = peer;
             this.timeoutMs = timeoutMs;
         }
 
+        @Override
+        public Held held() {
+            return held;
+        }
+
+        @Override
+        public int number() {
+            return number;
+        }
+
+        @Override
+        public long startedNanos() {
+            return startedNanos;
+        }
+
+        /** By closing its connection. */
+        @Override
+        public void cancel() {
+            end(Outcome.CANCELLED);
+            close();
+        }
+
         private void connected(ChannelFuture f, InetSocketAddress dialled) {
             if (done) {
                 f.channel().close();
@@ -298,7 +316,7 @@
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
                     "/v1/messages", Unpooled.wrappedBuffer(held.body));
             request.headers()
-                    .set(HttpHeaderNames.HOST, hostPort(peer.address))
+                    .set(HttpHeaderNames.HOST, Config.hostPort(peer.address))
                     .set("X-Call-Id", held.id)
                     .set("X-Budget-Ms", Math.max(1, (long) timeoutMs))
                     .set(HttpHeaderNames.CONTENT_LENGTH, held.body.length);
@@ -385,10 +403,6 @@
         return 0;
     }
 
-    static String hostPort(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
     /**
      * Reads the first line of each answer before the codec does. A line with 200 ends the call at once, as
      * nothing behind it can change that; what is no first line ends it too, since a head that never ends
--- /dev/null
+++ b/src/main/java/slipfield/transport/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Attempts at endpoints over HTTP/1.1, and the connections kept to them. May use {@code core} and what that uses.
+ */
+package slipfield.transport.http;
--- a/src/test/java/kestreldeal/admission/AdmissionTest.java
+++ b/src/test/java/slipfield/admission/AdmissionTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.admission;
+package slipfield.admission;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/kestreldeal/net/AgentTest.java
+++ b/src/test/java/slipfield/agent/AgentTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.agent;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import slipfield.standin.Stub;
 
 /** The agent's time limit, where it is the loop that is late. */
 class AgentTest {
--- /dev/null
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -0,0 +1,315 @@
+package slipfield.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import slipfield.config.Config;
+import slipfield.journal.Claim;
+import slipfield.journal.Held;
+import slipfield.journal.LifeClock;
+import slipfield.journal.Owed;
+import slipfield.policy.Relay;
+import slipfield.standin.Stub;
+import slipfield.trace.Trace;
+
+/** The core among parts in memory: what its ports promise to fronts, transports, directories and outcomes. */
+class SenderPortsTest {
+    private static final Claim ASKS = new Claim("queue", "desk-1", true, true);
+    private static final Claim DROPS = new Claim("queue", "desk-2", true, false);
+
+    @TempDir
+    Path folder;
+    private final World world = new World();
+    private Sender sender;
+
+    /** Every port, in memory. What is out stays out until the test ends it. */
+    private final class World implements Parts {
+        private final List<Out> out = new CopyOnWriteArrayList<>();
+        private final List<String> told = new CopyOnWriteArrayList<>();
+        private final Map<String, Directory.Lists> directories = new HashMap<>();
+        private final Map<Long, InetSocketAddress> serving = new HashMap<>();
+        /** Outcomes that answer; others keep what they are owed. */
+        private final List<String> hearing = new CopyOnWriteArrayList<>(List.of("platform", "queue"));
+        private List<String> names = List.of("platform");
+        private Transport.Ends ends;
+        private Desk desk;
+
+        private record Out(Held held, int number, long startedNanos, Transport.Ends ends)
+                implements Transport.Attempt {
+            @Override
+            public void cancel() {
+                ends.ended(this, Relay.Outcome.CANCELLED, false, 0, 0);
+            }
+        }
+
+        @Override
+        public Transport transport(EventLoop loop, Transport.Ends told) {
+            ends = told;
+            return new Transport() {
+                @Override
+                public void start() {
+                }
+
+                @Override
+                public void at(long endpoint, InetSocketAddress address, boolean serves) {
+                    serving.put(endpoint, address);
+                }
+
+                @Override
+                public void stop(long endpoint) {
+                    serving.remove(endpoint);
+                }
+
+                @Override
+                public void forget(long endpoint) {
+                    serving.remove(endpoint);
+                }
+
+                @Override
+                public Attempt attempt(Held held, int number, long endpoint, double timeoutMs, long decidedNanos) {
+                    Out attempt = new Out(held, number, System.nanoTime(), ends);
+                    out.add(attempt);
+                    return attempt;
+                }
+
+                @Override
+                public void closeIdle(long endpoint) {
+                }
+            };
+        }
+
+        @Override
+        public Map<String, Outcome> outcomes(EventLoop loop, Consumer<Owed> heard) {
+            Map<String, Outcome> all = new LinkedHashMap<>();
+            for (String name : List.of("platform", "queue")) {
+                all.put(name, new Outcome() {
+                    private int kept;
+
+                    @Override
+                    public void owe(Owed answer) {
+                        if (!hearing.contains(name)) {
+                            kept++;
+                            return;
+                        }
+                        told.add(answer.held().id + " " + name + answer.claim().peer() + " "
+                                + answer.held().owed.orElseThrow().end());
+                        heard.accept(answer);
+                    }
+
+                    @Override
+                    public void flush() {
+                    }
+
+                    @Override
+                    public int owed() {
+                        return kept;
+                    }
+                });
+            }
+            return all;
+        }
+
+        @Override
+        public Map<String, Directory> directories(EventLoop loop) {
+            Map<String, Directory> all = new LinkedHashMap<>();
+            for (String name : names) {
+                all.put(name, new Directory() {
+                    @Override
+                    public void start(Lists lists) {
+                        directories.put(name, lists);
+                        lists.listed(true, List.of(entry(name + "-s", 7)));
+                    }
+
+                    @Override
+                    public boolean fresh() {
+                        return true;
+                    }
+                });
+            }
+            return all;
+        }
+
+        @Override
+        public List<Front> fronts(EventLoop loop, Desk core) {
+            desk = core;
+            return List.of();
+        }
+
+        @Override
+        public void traced(Trace trace) {
+        }
+
+        @Override
+        public void rehearse(EventLoop loop, long mostMs, Runnable then) {
+            then.run();
+        }
+    }
+
+    private static Directory.Entry entry(String id, long destination) {
+        return new Directory.Entry(id, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), "a", "m",
+                destination, true, 1, false);
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.createDirectories(folder.resolve("state"));
+        Files.writeString(file, """
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+                 "limits":{"sockets":256,"disk_mb":3},
+                 "settings":{"classes":[{"name":"order","aim_ms":2000,"give_up_ms":24000,"repeat":"safe"},
+                  {"name":"once","aim_ms":2000,"give_up_ms":24000,"repeat":"unsafe"}],
+                  "tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
+                  "family_info":{"workers":10,"batch_by_kind":[1],"separate_routes":[false]},
+                  "fleet_size":1,"limits":{"most_tries":4,"second_copies":false,"cancel":true,"max_open":50},
+                  "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
+                """);
+        Config config = Config.read(Map.of("GW_CONFIG", file.toString(), "GW_STATE",
+                folder.resolve("state").toString()));
+        sender = new Sender(config, world, 100, 1000, LifeClock.system());
+        sender.start();
+        Stub.await("it is ready", () -> on(() -> world.desk.ready()));
+    }
+
+    @AfterEach
+    void close() {
+        sender.kill();
+    }
+
+    private void restart() throws Exception {
+        sender.kill();
+        world.out.clear();
+        start();
+    }
+
+    private <T> T on(Supplier<T> asked) {
+        return sender.loop().submit(asked::get).syncUninterruptibly().getNow();
+    }
+
+    /** A front's way to hand in: what is known of the id first, then the message itself. */
+    private String handIn(String id, String type, Claim claim) {
+        return on(() -> {
+            Optional<Desk.Known> known = world.desk.before(id, claim);
+            if (known.isPresent()) {
+                return known.get().name();
+            }
+            Desk.Taking taking = world.desk.take(new Desk.Submission(id, type, "acme", Optional.empty(), 7, 20_000,
+                    new byte[] {1}, claim));
+            taking.held().ifPresent(held -> world.desk.answered(held, true));
+            return taking.held().isPresent() ? "taken" : taking.reason();
+        });
+    }
+
+    private void end(Relay.Outcome outcome) throws Exception {
+        Stub.await("an attempt", () -> !world.out.isEmpty());
+        World.Out attempt = world.out.remove(0);
+        on(() -> {
+            attempt.ends().ended(attempt, outcome, false, 0, 0);
+            return null;
+        });
+    }
+
+    private void awaitTold(String... lines) throws Exception {
+        Stub.await(List.of(lines) + " of " + world.told, () -> world.told.size() >= lines.length);
+        // What is told twice would come in the same turn, which is over by the time that the loop answers.
+        on(() -> null);
+        assertEquals(new ArrayList<>(List.of(lines)), new ArrayList<>(world.told));
+    }
+
+    @Test
+    void whoAsksIsToldOfADeliveryOnceAndThePlatformIsNot() throws Exception {
+        assertEquals("taken", handIn("one", "order", ASKS));
+        assertEquals("taken", handIn("two", "order", Claim.PLATFORM));
+        end(Relay.Outcome.DELIVERED);
+        end(Relay.Outcome.DELIVERED);
+        awaitTold("one queuedesk-1 DELIVERED");
+        restart();
+        assertEquals(1, world.told.size());
+        assertEquals("DELIVERED", handIn("one", "order", ASKS));
+    }
+
+    @Test
+    void theSameIdByTwoFrontsIsOneMessageAndEachIsToldOnce() throws Exception {
+        assertEquals("taken", handIn("one", "once", Claim.PLATFORM));
+        assertEquals("HELD", handIn("one", "once", ASKS));
+        assertEquals("HELD", handIn("one", "once", ASKS));
+        end(Relay.Outcome.ERROR);
+        awaitTold("one platform FAILED", "one queuedesk-1 FAILED");
+        assertTrue(world.out.isEmpty(), "one message, one attempt");
+    }
+
+    @Test
+    void aClaimOutlivesTheProcess() throws Exception {
+        assertEquals("taken", handIn("one", "order", ASKS));
+        assertEquals("HELD", handIn("one", "order", DROPS));
+        restart();
+        end(Relay.Outcome.DELIVERED);
+        awaitTold("one queuedesk-1 DELIVERED", "one queuedesk-2 DELIVERED");
+        restart();
+        assertEquals(2, world.told.size(), "nobody is told again");
+    }
+
+    @Test
+    void anAnswerIsKeptForWhoIsAwayAndDroppedWhereThatWasAsked() throws Exception {
+        assertEquals("taken", handIn("one", "order", ASKS));
+        assertEquals("taken", handIn("two", "order", DROPS));
+        on(() -> {
+            world.desk.left("queue", "desk-1");
+            world.desk.left("queue", "desk-2");
+            return null;
+        });
+        world.hearing.remove("queue");
+        end(Relay.Outcome.DELIVERED);
+        end(Relay.Outcome.DELIVERED);
+        Stub.await("both are over", () -> handIn("two", "order", DROPS).equals("DELIVERED")
+                && handIn("one", "order", ASKS).equals("DELIVERED"));
+        assertEquals(List.of(), world.told);
+        world.hearing.add("queue");
+        restart();
+        awaitTold("one queuedesk-1 DELIVERED");
+    }
+
+    @Test
+    void whoHeardBeforeTheEndOfTheProcessIsNotToldAgainWhenAnotherIs() throws Exception {
+        assertEquals("taken", handIn("one", "once", Claim.PLATFORM));
+        assertEquals("HELD", handIn("one", "once", ASKS));
+        world.hearing.remove("queue");
+        end(Relay.Outcome.ERROR);
+        awaitTold("one platform FAILED");
+        world.hearing.add("queue");
+        restart();
+        awaitTold("one platform FAILED", "one queuedesk-1 FAILED");
+    }
+
+    @Test
+    void aDirectoryThatDiesLeavesItsLastListStanding() throws Exception {
+        world.names = List.of("platform", "consul");
+        restart();
+        on(() -> {
+            world.directories.get("platform").listed(true, List.of(entry("platform-t", 7)));
+            return null;
+        });
+        assertEquals(2, on(() -> world.serving.size()), "the new one and the other directory's");
+        assertEquals("taken", handIn("one", "order", ASKS));
+        end(Relay.Outcome.DELIVERED);
+        awaitTold("one queuedesk-1 DELIVERED");
+    }
+}
--- a/src/test/java/kestreldeal/net/SenderTest.java
+++ b/src/test/java/slipfield/daemon/SenderTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -27,11 +27,16 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
-import kestreldeal.Relay;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import slipfield.config.Config;
+import slipfield.journal.Held;
+import slipfield.journal.Journal;
+import slipfield.journal.LifeClock;
+import slipfield.policy.Relay;
+import slipfield.standin.Stub;
 
 /** The whole sender over loopback sockets: clients, two endpoints of one destination, and the agent. */
 class SenderTest {
@@ -47,7 +52,7 @@
     private volatile boolean agentUp = true;
     private volatile int reportStatus = 204;
     private boolean known = true;
-    private Sender sender;
+    private Daemon sender;
     private InetSocketAddress address;
 
     @BeforeEach
@@ -133,11 +138,11 @@
     }
 
     private void start() throws Exception {
-        start(Sender.CLOSING_MS);
+        start(Daemon.CLOSING_MS);
     }
 
     private void start(long closingMs) throws Exception {
-        sender = new Sender(config(), Sender.TAKING_MS, closingMs);
+        sender = new Daemon(config(), Daemon.TAKING_MS, closingMs, LifeClock.system());
         address = sender.start();
     }
 
@@ -208,7 +213,7 @@
                 journal.attempt(held, new Held.Attempt("s-0", wall - attemptAgoMs));
             }
             if (notice) {
-                journal.owed(held, new Held.Notice(true, 700));
+                journal.owed(held, new Held.Notice(Held.End.REFUSED, 700));
             }
             return held;
         }
@@ -887,7 +892,7 @@
                     journal.neverRan(held, 0);
                 }
                 if (i % 9 == 2) {
-                    journal.owed(held, new Held.Notice(i % 2 == 0, 0));
+                    journal.owed(held, new Held.Notice(i % 2 == 0 ? Held.End.REFUSED : Held.End.FAILED, 0));
                 }
                 if (i % 9 == 4) {
                     journal.ended(held);
@@ -1000,7 +1005,7 @@
             journal.attempt(late, new Held.Attempt("s-0", wall));
             journal.taken(order(journal, "order", wall + 24_000));
         }
-        sender = new Sender(config(), Sender.TAKING_MS, Sender.CLOSING_MS,
+        sender = new Daemon(config(), Daemon.TAKING_MS, Daemon.CLOSING_MS,
                 new LifeClock(wall - 300_000 + 25_000, 26_000, 9));
         address = sender.start();
         Stub.await("both ends", () -> notices.size() == 2);
@@ -1095,7 +1100,7 @@
 
     private Process process() throws Exception {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
-                "-cp", System.getProperty("java.class.path"), "kestreldeal.Main", "serve");
+                "-cp", System.getProperty("java.class.path"), "slipfield.Main", "serve");
         builder.environment().putAll(environment());
         Path log = Files.createTempFile(folder, "log", "");
         Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
--- a/src/test/java/kestreldeal/net/IntakeTest.java
+++ b/src/test/java/slipfield/front/http/IntakeTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.front.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -20,6 +20,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import slipfield.core.Desk;
+import slipfield.journal.Claim;
+import slipfield.journal.Held;
+import slipfield.standin.Stub;
 
 /** The bound on clients' connections, apart from the sender. */
 class IntakeTest {
@@ -37,7 +41,7 @@
     }
 
     /** A desk that is ready and knows nothing. */
-    private static final class NoDesk implements Intake.Desk {
+    private static final class NoDesk implements Desk {
         @Override
         public boolean ready() {
             return true;
@@ -64,13 +68,17 @@
         }
 
         @Override
-        public Optional<HttpResponseStatus> answeredBefore(String id) {
+        public Optional<Known> before(String id, Claim claim) {
             return Optional.empty();
         }
 
         @Override
-        public Intake.Taking take(Intake.Submission submission) {
-            return Intake.Taking.refused("no room", 0);
+        public void left(String outcome, String peer) {
+        }
+
+        @Override
+        public Taking take(Submission submission) {
+            return Taking.refused("no room", 0);
         }
 
         @Override
@@ -79,7 +87,7 @@
     }
 
     /** A desk that knows all, has room for nothing, and notes what it was asked to take. */
-    private static final class NotingDesk implements Intake.Desk {
+    private static final class NotingDesk implements Desk {
         private final List<String> asked = new CopyOnWriteArrayList<>();
 
         @Override
@@ -108,14 +116,18 @@
         }
 
         @Override
-        public Optional<HttpResponseStatus> answeredBefore(String id) {
+        public Optional<Known> before(String id, Claim claim) {
             return Optional.empty();
         }
 
         @Override
-        public Intake.Taking take(Intake.Submission submission) {
+        public void left(String outcome, String peer) {
+        }
+
+        @Override
+        public Taking take(Submission submission) {
             asked.add(submission.id());
-            return Intake.Taking.refused("no room", 0);
+            return Taking.refused("no room", 0);
         }
 
         @Override
@@ -133,8 +145,8 @@
     void aClientThatLeftBeforeItsRequestWasReadIsNotTakenOn() throws Exception {
         EventLoop loop = group.next();
         NotingDesk desk = new NotingDesk();
-        Intake intake = new Intake(loop, MOST, desk);
-        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Intake intake = new Intake(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MOST, desk);
+        InetSocketAddress address = intake.listen();
         CountDownLatch written = new CountDownLatch(1);
         keepBusy(loop, written);
         for (int i = 0; i < 5; i++) {
@@ -164,8 +176,8 @@
     @Test
     void aCrowdThatConnectsAtOnceStaysWithinTheBound() throws Exception {
         EventLoop loop = group.next();
-        Intake intake = new Intake(loop, MOST, new NoDesk());
-        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Intake intake = new Intake(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MOST, new NoDesk());
+        InetSocketAddress address = intake.listen();
         CountDownLatch connected = new CountDownLatch(1);
         keepBusy(loop, connected);
         for (int i = 0; i < 200; i++) {
@@ -186,8 +198,8 @@
     @Test
     void visitorsMakeRoomBeforeThoseWhoHandInMessages() throws Exception {
         NotingDesk desk = new NotingDesk();
-        Intake intake = new Intake(group.next(), MOST, desk);
-        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Intake intake = new Intake(group.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MOST, desk);
+        InetSocketAddress address = intake.listen();
         Socket customer = new Socket(address.getAddress(), address.getPort());
         sockets.add(customer);
         submit(customer, "first");
@@ -209,8 +221,8 @@
     void ofThoseThatAskOnceTheLongestIdleIsClosed() throws Exception {
         EventLoop loop = group.next();
         NotingDesk desk = new NotingDesk();
-        Intake intake = new Intake(loop, MOST, desk);
-        InetSocketAddress address = intake.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Intake intake = new Intake(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MOST, desk);
+        InetSocketAddress address = intake.listen();
         for (int i = 0; i < 3 * MOST; i++) {
             Socket once = new Socket(address.getAddress(), address.getPort());
             sockets.add(once);
--- a/src/test/java/kestreldeal/net/FailingChannel.java
+++ b/src/test/java/slipfield/journal/FailingChannel.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.journal;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/src/test/java/kestreldeal/net/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.journal;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -19,9 +19,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import kestreldeal.Relay;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import slipfield.policy.Relay;
 
 class JournalTest {
     private static final long DISK = 200_000;
@@ -52,7 +52,7 @@
             journal.attempt(a, new Held.Attempt("s-1", 100));
             journal.attempt(a, new Held.Attempt("s-2", 200));
             journal.neverRan(a, 0);
-            journal.owed(b, new Held.Notice(true, 500));
+            journal.owed(b, new Held.Notice(Held.End.REFUSED, 500));
             journal.ended(c);
         }
         try (Journal journal = open()) {
@@ -66,11 +66,87 @@
             assertEquals(List.of("s-1", "s-2"), a.attempts.stream().map(x -> x.endpoint).toList());
             assertEquals(List.of(true, false), a.attempts.stream().map(x -> x.neverRan).toList());
             assertEquals(200, a.attempts.get(1).sentAtMs);
-            assertEquals(Optional.of(new Held.Notice(true, 500)), held.get(1).owed);
+            assertEquals(Optional.of(new Held.Notice(Held.End.REFUSED, 500)), held.get(1).owed);
             assertEquals(3, journal.nextNumber(), "numbers are not used again");
         }
     }
 
+    /** A file as the version wrote it that knew the platform alone, cut off within its last record. */
+    @Test
+    void aJournalOfTheOlderFormIsReadAlsoWithATornTail() throws Exception {
+        Files.copy(Path.of("src/test/resources/journal-before-claims.bin"), folder.resolve("journal"));
+        for (int life = 0; life < 2; life++) {
+            try (Journal journal = new Journal(folder, DISK, 12, new LifeClock.Mark(1_790_000_001_000L, 6000, 9),
+                    FileChannel::open)) {
+                List<Held> held = journal.held();
+                assertEquals(List.of("one", "two"), held.stream().map(h -> h.id).toList());
+                assertEquals(1_790_000_024_000L, held.get(0).deadlineMs);
+                assertEquals(List.of(true, false), held.get(0).attempts.stream().map(a -> a.neverRan).toList());
+                assertEquals(Optional.of(new Held.Notice(Held.End.REFUSED, 500)), held.get(1).owed);
+                held.forEach(h -> assertEquals(List.of(Claim.PLATFORM), h.claims));
+                assertEquals(Map.of("three", true), journal.over());
+                assertEquals(Relay.State.DOWN, journal.health().get("s-1").state());
+                assertEquals(0.05, journal.paces().get(new Journal.PaceOf(7, "")).perMs());
+            }
+        }
+    }
+
+    @Test
+    void claimsOutlastLivesAndCompactions() throws Exception {
+        Claim asks = new Claim("queue", "desk-1", true, true);
+        Claim drops = new Claim("queue", "desk-2", false, false);
+        try (Journal journal = open()) {
+            Held only = new Held(journal.nextNumber(), "only", "order", "desk", Optional.empty(), 7, 12_345,
+                    new byte[3], asks);
+            Held both = held(journal, 3);
+            Held none = held(journal, 3);
+            Held told = held(journal, 3);
+            for (Held h : List.of(only, both, none, told)) {
+                journal.taken(h);
+            }
+            journal.claimed(both, drops);
+            journal.heard(none, Claim.PLATFORM);
+            journal.claimed(told, asks);
+            journal.claimed(told, drops);
+            journal.owed(told, new Held.Notice(Held.End.DELIVERED, 0));
+            for (int i = 0; i < 20_000; i++) {
+                Held passing = held(journal, 100);
+                journal.taken(passing);
+                journal.ended(passing);
+            }
+        }
+        for (int life = 0; life < 2; life++) {
+            try (Journal journal = open()) {
+                List<Held> held = journal.held();
+                assertEquals(List.of(asks), held.get(0).claims);
+                assertEquals(List.of(Claim.PLATFORM, drops), held.get(1).claims);
+                assertEquals(List.of(), held.get(2).claims);
+                assertEquals(List.of(asks), held.get(3).claims, "the others hear of no delivery");
+                assertEquals(Optional.of(new Held.Notice(Held.End.DELIVERED, 0)), held.get(3).owed);
+            }
+        }
+    }
+
+    @Test
+    void aMessageIsOverWhenTheLastOfItsClaimantsHasHeard() throws Exception {
+        Claim asks = new Claim("queue", "desk-1", true, true);
+        try (Journal journal = open()) {
+            Held both = held(journal, 3);
+            journal.taken(both);
+            journal.claimed(both, asks);
+            journal.owed(both, new Held.Notice(Held.End.FAILED, 0));
+            journal.heard(both, Claim.PLATFORM);
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of(asks), journal.held().get(0).claims);
+            journal.heard(journal.held().get(0), asks);
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of(), journal.held());
+            assertEquals(Map.of("id-0", false), journal.over());
+        }
+    }
+
     @Test
     void healthOutlastsLivesAndCompactionsUntilAnEndpointIsInService() throws Exception {
         Journal.Health down = new Journal.Health(Relay.State.DOWN, 100, 0.5);
@@ -177,7 +253,7 @@
                     journal.neverRan(h, 0);
                 }
                 if (i == 3) {
-                    journal.owed(h, new Held.Notice(true, 500));
+                    journal.owed(h, new Held.Notice(Held.End.REFUSED, 500));
                 }
                 if (i == 4) {
                     journal.ended(h);
@@ -225,7 +301,7 @@
                 }
                 if (random.nextInt(100) < 48 || live.size() > 60) {
                     Held over = live.remove();
-                    journal.owed(over, new Held.Notice(false, 0));
+                    journal.owed(over, new Held.Notice(Held.End.FAILED, 0));
                     journal.ended(over);
                 }
                 compactions += journal.size() < before ? 1 : 0;
@@ -257,7 +333,7 @@
                     journal.attempt(h, new Held.Attempt("s-5be2a07c5be2a07c", i));
                     journal.neverRan(h, i);
                 }
-                journal.owed(h, new Held.Notice(true, 1));
+                journal.owed(h, new Held.Notice(Held.End.REFUSED, 1));
             }
             for (Held h : taken) {
                 journal.ended(h);
@@ -313,7 +389,7 @@
                 Held h = held(journal, 100);
                 journal.taken(h);
                 if (i % 3 == 0) {
-                    journal.owed(h, new Held.Notice(false, 0));
+                    journal.owed(h, new Held.Notice(Held.End.FAILED, 0));
                 }
                 if (i % 3 == 2) {
                     journal.withdrawn(h);
--- a/src/test/java/kestreldeal/Bench.java
+++ b/src/test/java/slipfield/policy/Bench.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -14,8 +14,8 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
-import kestreldeal.Relay.Effect;
-import kestreldeal.Relay.Outcome;
+import slipfield.policy.Relay.Effect;
+import slipfield.policy.Relay.Outcome;
 
 /** A caller of the module for tests: a clock, recorded actions and, where strict, a check of the rules. */
 final class Bench implements Relay.Actions {
--- a/src/test/java/kestreldeal/ExampleTest.java
+++ b/src/test/java/slipfield/policy/ExampleTest.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/kestreldeal/LogicTest.java
+++ b/src/test/java/slipfield/policy/LogicTest.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,9 +9,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
-import kestreldeal.Relay.Effect;
-import kestreldeal.Relay.Outcome;
 import org.junit.jupiter.api.Test;
+import slipfield.policy.Relay.Effect;
+import slipfield.policy.Relay.Outcome;
 
 /**
  * The module's behaviour, through its interface. Class 0 is safe, 1 keyed, 2 unsafe and in order, 3 keyed by
@@ -949,7 +949,7 @@
 
     @Test
     void theModuleStaysSmall() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/kestreldeal/Logic.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/slipfield/policy/Logic.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 1200);
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110));
     }
--- a/src/test/java/kestreldeal/recovery/PlanTest.java
+++ b/src/test/java/slipfield/recovery/PlanTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.recovery;
+package slipfield.recovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/kestreldeal/DrillTest.java
+++ b/src/test/java/slipfield/sim/DrillTest.java
@@ -1,4 +1,4 @@
-package kestreldeal;
+package slipfield.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/kestreldeal/trace/TraceTest.java
+++ b/src/test/java/slipfield/trace/TraceTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.trace;
+package slipfield.trace;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/kestreldeal/net/EndpointsTest.java
+++ b/src/test/java/slipfield/transport/http/EndpointsTest.java
@@ -1,4 +1,4 @@
-package kestreldeal.net;
+package slipfield.transport.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -18,10 +18,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import kestreldeal.Relay.Outcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import slipfield.core.Transport;
+import slipfield.journal.Held;
+import slipfield.policy.Relay.Outcome;
+import slipfield.standin.Stub;
 
 /** Each row of the protocol's table of outcomes, and the connections that calls go over. */
 class EndpointsTest {
@@ -59,13 +62,13 @@
         loop.submit(() -> endpoints.at(1, address, true)).syncUninterruptibly();
     }
 
-    private Endpoints.Call start(byte[] body, double timeoutMs) throws Exception {
+    private Transport.Attempt start(byte[] body, double timeoutMs) throws Exception {
         Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), 7, 0, body);
         return start(held, timeoutMs, 0);
     }
 
-    private Endpoints.Call start(Held held, double timeoutMs, long decidedAgoMs) throws Exception {
-        return loop.submit(() -> endpoints.call(held, 0, 1, timeoutMs,
+    private Transport.Attempt start(Held held, double timeoutMs, long decidedAgoMs) throws Exception {
+        return loop.submit(() -> endpoints.attempt(held, 0, 1, timeoutMs,
                 System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(decidedAgoMs))).get();
     }
 
@@ -109,13 +112,13 @@
     void aCallWhoseEndpointLeftTheListWhileItWasConnectedIsNotMade() throws Exception {
         Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), 7, 0, new byte[0]);
         loop.submit(() -> {
-            endpoints.call(held, 0, 1, LONG_MS, System.nanoTime());
+            endpoints.attempt(held, 0, 1, LONG_MS, System.nanoTime());
             endpoints.stop(1);
         }).get();
         assertEquals(new End(Outcome.NOT_SENT, false, 0), end());
         loop.submit(() -> {
             endpoints.at(1, stub.address(), true);
-            endpoints.call(held, 0, 1, LONG_MS, System.nanoTime());
+            endpoints.attempt(held, 0, 1, LONG_MS, System.nanoTime());
             endpoints.at(1, stub.address(), false);
         }).get();
         assertEquals(new End(Outcome.NOT_SENT, false, 0), end());
@@ -177,9 +180,9 @@
     @Test
     void aCancelledCallEndsOnceAndClosesTheConnection() throws Exception {
         stub.script(Stub.silent());
-        Endpoints.Call call = start(new byte[1], LONG_MS);
+        Transport.Attempt call = start(new byte[1], LONG_MS);
         Stub.await("the call arrives", () -> !stub.requests.isEmpty());
-        loop.submit(() -> endpoints.cancel(call)).syncUninterruptibly();
+        loop.submit(() -> call.cancel()).syncUninterruptibly();
         assertEquals(new End(Outcome.CANCELLED, false, 0), end());
         expect(Outcome.DELIVERED, Stub.status(200, ""));
         assertEquals(1, stub.requests.get(1).connection());
