--- a/src/main/java/slipfield/Main.java
+++ b/src/main/java/slipfield/Main.java
@@ -6,31 +6,37 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
+import slipfield.cli.Cli;
 import slipfield.daemon.Daemon;
 import slipfield.sim.Drill;
 
 /**
- * The command line: {@code serve} runs a real sender, {@code simhost} speaks the simulator's wire on standard
- * input and output.
+ * The program. {@code serve} and {@code simhost} by themselves go their way at once, lest a start load what only the
+ * other commands need; all else is the command line's.
  */
 public final class Main {
     private Main() {
     }
 
-    /** Runs the command named by the first argument; usage goes to standard error, exit code 2. */
+    /** Runs the command that the arguments name, and exits with its code. */
     public static void main(String[] args) {
-        if (args.length != 1 || !List.of("simhost", "serve").contains(args[0])) {
-            System.err.println("usage: java -jar slipfield.jar simhost | serve");
-            System.err.println("  simhost speak the simulator's wire on standard input and output");
-            System.err.println("  serve   run a sender on real sockets, as its environment configures it");
-            System.exit(2);
-        }
-        if (args[0].equals("serve")) {
-            System.exit(Daemon.serve(System.getenv()));
-        }
+        String alone = args.length == 1 ? args[0] : "";
+        System.exit(switch (alone) {
+            case "serve" -> serve();
+            case "simhost" -> simhost();
+            default -> Cli.run(args);
+        });
+    }
+
+    /** Runs a sender as its environment configures it; returns the exit code. */
+    public static int serve() {
+        return Daemon.serve(System.getenv());
+    }
+
+    /** Speaks the simulator's wire on standard input and output; returns the exit code. */
+    public static int simhost() {
         OutputStream out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
         PrintStream replies = new PrintStream(out, false, StandardCharsets.UTF_8);
-        System.exit(new Drill(System.in, replies, System.err).run());
+        return new Drill(System.in, replies, System.err).run();
     }
 }
--- /dev/null
+++ b/src/main/java/slipfield/cli/TryCommand.java
@@ -0,0 +1,171 @@
+package slipfield.cli;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.HdrHistogram.Histogram;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+import slipfield.standin.Ledger;
+import slipfield.standin.SenderProcess;
+import slipfield.standin.TrialWorld;
+import slipfield.standin.Venue;
+
+/** The main job, on stand-ins: orders through the real sender, which is killed once, past a venue that falls silent. */
+@Command(name = "try", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Runs the whole on this machine: the real sender, three stand-in venues, an agent and desks, on "
+                + "free ports of the loopback. Kills the sender once and starts it again, and lets a venue fall "
+                + "silent for a while. Ends with what became of each order.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:every order taken has exactly one end, none ran against its class", "1:not so",
+            "2:the arguments can't be read"})
+final class TryCommand implements Callable<Integer> {
+    private static final int VENUES = 3;
+    private static final long SERVICE_MICROS = 5000;
+    private static final long GIVE_UP_MS = 8000;
+    private static final long PAST_END_MS = 4000;
+    /** Part of the run in which a venue is silent. */
+    private static final double SILENT_FROM = 0.2;
+    private static final double SILENT_TO = 0.6;
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--seconds", paramLabel = "N", defaultValue = "20",
+            description = "How long desks hand in orders, 1 to 3600. Default: ${DEFAULT-VALUE}")
+    private int seconds;
+    @Option(names = "--rate", paramLabel = "N", defaultValue = "200",
+            description = "Orders a second, 1 to 20000. Default: ${DEFAULT-VALUE}")
+    private double rate;
+    @Option(names = "--kill-at", paramLabel = "S", defaultValue = "-1",
+            description = "SIGKILL to the sender after so many seconds; 0: never. Default: half of --seconds")
+    private double killAt;
+    @Option(names = "--json", paramLabel = "FILE", description = "Writes the result there too.")
+    private Path json;
+    @Option(names = "--folder", paramLabel = "FOLDER",
+            description = "Where configuration, journal and logs go. Default: a new folder that is deleted after a good "
+                    + "run")
+    private Path folder;
+
+    @Override
+    public Integer call() throws Exception {
+        check(seconds >= 1 && seconds <= 3600, "--seconds is 1 to 3600");
+        check(rate >= 1 && rate <= 20_000, "--rate is 1 to 20000");
+        check(killAt < seconds, "--kill-at is before --seconds");
+        boolean own = folder == null;
+        Path at = own ? Files.createTempDirectory("slipfield-try") : folder;
+        boolean good = run(at);
+        if (own && good) {
+            Folders.delete(at);
+        } else {
+            out().println("configuration, journal and logs are in " + at);
+        }
+        out().flush();
+        return good ? 0 : 1;
+    }
+
+    private void check(boolean holds, String rule) {
+        if (!holds) {
+            throw new ParameterException(spec.commandLine(), rule);
+        }
+    }
+
+    private PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    private boolean run(Path at) throws IOException, InterruptedException {
+        TrialWorld.Size size = new TrialWorld.Size(VENUES, Math.max(20, rate), SERVICE_MICROS, GIVE_UP_MS, 2000, 64);
+        try (TrialWorld world = new TrialWorld(at, size);
+                SenderProcess sender = new SenderProcess(at, List.of(), List.of("-Xmx48m", "-XX:+UseSerialGC"))) {
+            sender.start();
+            out().printf(Locale.ROOT, "The sender is up; %.0f orders a second for %d s.%n", rate, seconds);
+            world.desks().atRate(rate);
+            play(world, sender);
+            world.desks().stop();
+            world.awaitEnds(GIVE_UP_MS + PAST_END_MS);
+            return verdict(world);
+        }
+    }
+
+    private void play(TrialWorld world, SenderProcess sender) throws IOException, InterruptedException {
+        double kill = killAt < 0 ? seconds / 2.0 : killAt;
+        Venue moody = world.venues().get(0);
+        long begun = System.nanoTime();
+        boolean killed = kill == 0;
+        double nextLine = 1;
+        for (double t = 0; t < seconds; t = (System.nanoTime() - begun) / 1e9) {
+            boolean silent = t >= SILENT_FROM * seconds && t < SILENT_TO * seconds;
+            moody.mood(silent ? Venue.Mood.SILENT : Venue.Mood.UP);
+            if (!killed && t >= kill) {
+                killed = true;
+                sender.kill();
+                out().printf(Locale.ROOT, "%5.1f s  the sender is killed (SIGKILL) and started again%n", t);
+                sender.start();
+            }
+            if (t >= nextLine) {
+                line(world, t);
+                nextLine = Math.floor(t) + 1;
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        moody.mood(Venue.Mood.UP);
+    }
+
+    private void line(TrialWorld world, double t) {
+        Ledger.Account a = world.ledger().account();
+        Histogram latency = world.ledger().latency();
+        String venues = world.venues().stream().map(v -> v.id() + " " + v.mood().name().toLowerCase(Locale.ROOT))
+                .collect(Collectors.joining(", "));
+        out().printf(Locale.ROOT, "%5.1f s  taken %d  delivered %d  refused %d  failed %d  p50 %.1f ms  p99 %.1f ms  %s%n",
+                t, a.taken(), a.delivered(), a.refused(), a.failed(), latency.getValueAtPercentile(50) / 1e3,
+                latency.getValueAtPercentile(99) / 1e3, venues);
+        out().flush();
+    }
+
+    private boolean verdict(TrialWorld world) throws IOException {
+        Ledger.Account a = world.ledger().account();
+        Histogram latency = world.ledger().latency();
+        boolean good = a.holds() && a.delivered() > 0;
+        out().printf(Locale.ROOT, """
+
+                handed in    %8d   orders that desks sent
+                turned away  %8d   refused at once: not taken
+                not heard    %8d   the sender was away: may be held or not
+                taken        %8d   202: an end is owed
+                  delivered  %8d   a venue answered 200
+                  refused    %8d   given back by a notice
+                  failed     %8d   given up by a notice
+                  lost       %8d   taken, and no end
+                doubled      %8d   ran against their class
+                repeats      %8d   dropped by venues, by their key
+                latency      p50 %.1f ms, p99 %.1f ms, most %.1f ms, from hand-in to a venue's 200
+
+                %s
+                """, a.handedIn(), a.turnedAway(), a.unheard(), a.taken(), a.delivered(), a.refused(), a.failed(),
+                a.lost(), a.doubled(), a.repeats(), latency.getValueAtPercentile(50) / 1e3,
+                latency.getValueAtPercentile(99) / 1e3, latency.getMaxValue() / 1e3,
+                good ? "GOOD: every order taken has exactly one end, and none ran against its class."
+                        : "BAD: see above.");
+        if (json != null) {
+            ObjectNode result = JsonMapper.builder().build().createObjectNode().put("good", good)
+                    .put("handed_in", a.handedIn()).put("turned_away", a.turnedAway()).put("not_heard", a.unheard())
+                    .put("taken", a.taken()).put("delivered", a.delivered()).put("refused", a.refused())
+                    .put("failed", a.failed()).put("lost", a.lost()).put("doubled", a.doubled())
+                    .put("repeats", a.repeats()).put("p50_ms", latency.getValueAtPercentile(50) / 1e3)
+                    .put("p99_ms", latency.getValueAtPercentile(99) / 1e3);
+            Files.writeString(json, result.toPrettyString() + "\n");
+        }
+        return good;
+    }
+}
--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -14,7 +14,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -47,6 +46,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import slipfield.config.BadInput;
+import slipfield.config.Config;
 import slipfield.core.Desk;
 import slipfield.core.Front;
 import slipfield.journal.Claim;
@@ -103,7 +103,7 @@
     private final Deque<Pending> pending = new ArrayDeque<>();
     /** Absent unless the sender is traced. */
     private Trace trace;
-    private Channel listener;
+    private Listener listener;
     private boolean closing;
 
     private record Pending(Client client, ChannelHandlerContext ctx, Object bytes) {
@@ -119,7 +119,7 @@
             clients.put(state, new LinkedHashSet<>());
         }
         bootstrap = new ServerBootstrap().group(loop, loop)
-                .channelFactory(NioServerSocketChannel::new)
+                .channelFactory(Listener::new)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -158,10 +158,15 @@
     }
 
     @Override
-    public InetSocketAddress listen() {
+    public InetSocketAddress listen() throws IOException {
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        listener = bootstrap.bind(address).syncUninterruptibly().channel();
-        return (InetSocketAddress) listener.localAddress();
+        ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen at " + Config.hostPort(address) + ": " + bound.cause().getMessage()
+                    + "; is another sender running there? Set another `listen`, or GW_LISTEN");
+        }
+        listener = (Listener) bound.channel();
+        return listener.localAddress();
     }
 
     /**
@@ -171,7 +176,12 @@
     @Override
     public void close() {
         closing = true;
-        listener.close();
+        try {
+            listener.acceptRestAndClose();
+        } catch (Exception e) {
+            Log.line("closing the listening socket: " + e);
+            listener.close();
+        }
     }
 
     private void await(Pending read) {
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -91,6 +91,7 @@
     private long size;
     private long liveBytes;
     private long numbers;
+    private Replayed replayed;
     /** Absent unless the sender is traced. */
     private Trace trace;
 
@@ -121,6 +122,26 @@
         }
     }
 
+    /** One that is only looked into: these bytes, by the reckoning of time that they were written in. */
+    Journal(byte[] bytes) {
+        opener = FileChannel::open;
+        clock = null;
+        file = null;
+        next = null;
+        bound = Long.MAX_VALUE;
+        messageRoom = 0;
+        size = replay(bytes);
+    }
+
+    /** What was found at the start. */
+    Replayed replayed() {
+        return replayed;
+    }
+
+    /** Records read, those with a mended bit, bytes that can't be read in the middle, and at the end. */
+    record Replayed(long records, long mended, long lost, long torn) {
+    }
+
     /** What was held when the last process ended, in the order taken. */
     public List<Held> held() {
         return new ArrayList<>(live.values());
@@ -548,6 +569,7 @@
         int end = 0;
         long mended = 0;
         long lost = 0;
+        long read = 0;
         Records records = new Records(bytes);
         while (records.next()) {
             if (records.skipped() > 0) {
@@ -555,6 +577,7 @@
                 mayHaveRun();
             }
             mended += records.mended() ? 1 : 0;
+            read++;
             try {
                 apply(new DataInputStream(new ByteArrayInputStream(bytes, records.from(), records.length())),
                         HEAD + records.length());
@@ -564,17 +587,24 @@
             }
             end = records.from() + records.length();
         }
-        if (mended > 0) {
-            Log.line("the journal had a wrong bit in " + mended + " records, which are mended");
+        replayed = new Replayed(read, mended, lost, bytes.length - end);
+        if (clock != null) {
+            tell(replayed);
         }
-        if (lost > 0) {
-            Log.line("the journal has lost " + lost + " bytes in its middle: what they told of is not known, and "
+        return end;
+    }
+
+    private void tell(Replayed found) {
+        if (found.mended > 0) {
+            Log.line("the journal had a wrong bit in " + found.mended + " records, which are mended");
+        }
+        if (found.lost > 0) {
+            Log.line("the journal has lost " + found.lost + " bytes in its middle: what they told of is not known, and "
                     + "each of the " + live.size() + " messages held may have run");
         }
-        if (end < bytes.length) {
-            Log.line("the journal's last " + (bytes.length - end) + " bytes are no whole record and are dropped");
+        if (found.torn > 0) {
+            Log.line("the journal's last " + found.torn + " bytes are no whole record and are dropped");
         }
-        return end;
     }
 
     /** The latest time that a record has told, by this life's clock. */
@@ -618,7 +648,8 @@
                 return;
             }
             case CLOCK -> {
-                shift = new LifeClock.Mark(number, in.readLong(), in.readLong()).shiftTo(clock);
+                LifeClock.Mark written = new LifeClock.Mark(number, in.readLong(), in.readLong());
+                shift = clock == null ? 0 : written.shiftTo(clock);
                 shift = Math.abs(shift) < SET_MS ? 0 : shift;
                 if (shift != 0) {
                     Log.line("the wall clock was moved by " + shift + " ms since an earlier life; its times follow");
--- /dev/null
+++ b/src/main/java/slipfield/standin/Desks.java
@@ -0,0 +1,249 @@
+package slipfield.standin;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stand-in desks: hand in orders at a rate, or each its next one when the last has ended, over kept connections. What
+ * they hear goes into the ledger. All on one event loop.
+ */
+public final class Desks implements AutoCloseable {
+    private static final long TICK_MS = 5;
+    /** So long a desk waits for the answer to a hand-in. */
+    private static final long PATIENCE_MS = 2000;
+    private static final long PAUSE_MS = 20;
+    /** Connections that open-loop desks share. */
+    private static final int MOST_CONNECTIONS = 64;
+    private static final byte[] BODY = "{\"side\":\"buy\",\"symbol\":\"AKL\",\"quantity\":100}"
+            .getBytes(StandardCharsets.US_ASCII);
+
+    private final EventLoop loop;
+    private final InetSocketAddress sender;
+    private final Ledger ledger;
+    private final long budgetMs;
+    private final Bootstrap bootstrap;
+    private final Deque<Desk> free = new ArrayDeque<>();
+    /** Closed loop: whose next order waits for the end of which. */
+    private final Map<String, Desk> waiting = new HashMap<>();
+    private long orders;
+    private int connections;
+    private double due;
+    private long tickedNanos;
+    private boolean closedLoop;
+    private boolean stopped;
+
+    /** Desks of a sender at this address; each order may take so long. */
+    public Desks(EventLoop loop, InetSocketAddress sender, Ledger ledger, long budgetMs) {
+        this.loop = loop;
+        this.sender = sender;
+        this.ledger = ledger;
+        this.budgetMs = budgetMs;
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 16));
+                    }
+                });
+    }
+
+    /** Hands in so many orders a second from now on; what finds no free connection is not handed in late. */
+    public void atRate(double perSecond) {
+        loop.execute(() -> {
+            tickedNanos = System.nanoTime();
+            loop.scheduleAtFixedRate(() -> tick(perSecond), 0, TICK_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void tick(double perSecond) {
+        long now = System.nanoTime();
+        due = Math.min(MOST_CONNECTIONS, due + (now - tickedNanos) * perSecond / 1e9);
+        tickedNanos = now;
+        while (due >= 1 && !stopped) {
+            Desk desk = free.poll();
+            if (desk == null) {
+                if (connections < MOST_CONNECTIONS) {
+                    new Desk().connect();
+                    continue;
+                }
+                return;
+            }
+            due--;
+            desk.handIn();
+        }
+    }
+
+    /** So many desks hand in their next order as soon as the last one has ended. */
+    public void oneAfterAnother(int desks) {
+        ledger.onEnd(id -> loop.execute(() -> {
+            Desk desk = waiting.remove(id);
+            if (desk != null) {
+                desk.next();
+            }
+        }));
+        loop.execute(() -> {
+            closedLoop = true;
+            for (int i = 0; i < desks; i++) {
+                new Desk().connect();
+            }
+        });
+    }
+
+    /** Hands in no more. */
+    public void stop() {
+        loop.submit(() -> {
+            stopped = true;
+        }).syncUninterruptibly();
+    }
+
+    @Override
+    public void close() {
+        stop();
+    }
+
+    /** A desk and its connection. */
+    private final class Desk {
+        private Channel channel;
+        private String out;
+        private Future<?> patience;
+
+        private void connect() {
+            connections++;
+            bootstrap.connect(sender).addListener((ChannelFuture f) -> {
+                if (f.isSuccess()) {
+                    channel = f.channel();
+                    channel.pipeline().addLast(new Answers(this));
+                    next();
+                } else {
+                    away();
+                }
+            });
+        }
+
+        /** The sender is not there, or has closed: a little later on a new connection. */
+        private void away() {
+            channel = null;
+            connections--;
+            if (closedLoop && !stopped) {
+                loop.schedule(() -> new Desk().connect(), PAUSE_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void next() {
+            if (channel == null || !channel.isActive()) {
+                return;
+            }
+            if (closedLoop && !stopped) {
+                handIn();
+            } else {
+                free.push(this);
+            }
+        }
+
+        private void handIn() {
+            if (!channel.isActive()) {
+                return;
+            }
+            Ledger.Effect effect = orders % 2 == 0 ? Ledger.Effect.KEYED : Ledger.Effect.ONCE;
+            out = "o-" + orders++;
+            ledger.handedIn(out, effect);
+            String type = effect == Ledger.Effect.KEYED ? TrialWorld.KEYED : TrialWorld.ONCE;
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/" + type,
+                    Unpooled.wrappedBuffer(BODY));
+            request.headers().set(HttpHeaderNames.HOST, "sender").set("X-Call-Id", out).set("X-Call-Class", type)
+                    .set("X-Caller", TrialWorld.TENANT).set("X-Budget-Ms", budgetMs)
+                    .set("X-Envelope", "dest=" + Platform.DESTINATION).set("Idempotency-Key", "key-" + out)
+                    .set(HttpHeaderNames.CONTENT_LENGTH, BODY.length);
+            channel.writeAndFlush(request);
+            patience = loop.schedule(() -> {
+                channel.close();
+            }, PATIENCE_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void answered(FullHttpResponse answer) {
+            patience.cancel(false);
+            String id = out;
+            out = null;
+            boolean taken = answer.status().code() / 100 == 2;
+            if (!HttpUtil.isKeepAlive(answer)) {
+                channel.close();
+            }
+            if (taken && closedLoop && !stopped) {
+                // Before the ledger hears of it: its end may come from another thread at once.
+                waiting.put(id, this);
+            }
+            ledger.heard(id, taken);
+            if (taken && closedLoop) {
+                if (ledger.hasEnded(id) && waiting.remove(id) != null) {
+                    next();
+                }
+                return;
+            }
+            if (taken) {
+                next();
+            } else {
+                loop.schedule(this::next, PAUSE_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void gone() {
+            if (patience != null) {
+                patience.cancel(false);
+            }
+            free.remove(this);
+            waiting.values().remove(this);
+            away();
+        }
+    }
+
+    private static final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Desk desk;
+
+        Answers(Desk desk) {
+            this.desk = desk;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (desk.out != null) {
+                desk.answered(answer);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            desk.gone();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable gone) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/standin/Ledger.java
@@ -0,0 +1,212 @@
+package slipfield.standin;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.Recorder;
+
+/**
+ * What really became of each order: what its desk heard, what venues did, what the platform was told. The verdict on
+ * a sender is read from here, and from nothing that the sender says of itself. Threads of all stand-ins write to it.
+ */
+public final class Ledger {
+    /** What may be done with an order again. */
+    public enum Effect {
+        /** Venues drop a repeat of its key for a time. */
+        KEYED,
+        /** It must not run twice. */
+        ONCE
+    }
+
+    /** What a desk has heard of its hand-in. */
+    enum Heard {
+        /** Nothing: it broke, or was never answered; the sender may hold it. */
+        NOTHING,
+        TAKEN,
+        TURNED_AWAY
+    }
+
+    /** One order, under the id of its hand-in; guarded by itself. */
+    static final class Order {
+        private final String id;
+        private final Effect effect;
+        private final long sentNanos = System.nanoTime();
+        private Heard heard = Heard.NOTHING;
+        private int runs;
+        private long firstRunNanos;
+        private boolean ranPastWindow;
+        private boolean refused;
+        private boolean failed;
+        private boolean ended;
+
+        Order(String id, Effect effect) {
+            this.id = id;
+            this.effect = effect;
+        }
+    }
+
+    /**
+     * The account of all orders.
+     *
+     * @param handedIn all orders
+     * @param taken their desk heard 202
+     * @param turnedAway their desk heard a refusal
+     * @param unheard their desk heard nothing, as the sender was away; each may have run or not
+     * @param delivered taken, and a venue answered 200, and no notice says otherwise
+     * @param refused taken, and given back by a notice
+     * @param failed taken, and given up by a notice
+     * @param lost taken, and without an end
+     * @param doubled ran twice against their class, or given back though they had run
+     * @param repeats runs that venues dropped by their key
+     */
+    public record Account(long handedIn, long taken, long turnedAway, long unheard, long delivered, long refused,
+            long failed, long lost, long doubled, long repeats) {
+        /** Whether every order that was taken has exactly one end, and none ran against its class. */
+        public boolean holds() {
+            return lost == 0 && doubled == 0 && taken == delivered + refused + failed;
+        }
+    }
+
+    private final long windowNanos;
+    private final Map<String, Order> orders = new ConcurrentHashMap<>();
+    private final Recorder latency = new Recorder(TimeUnit.SECONDS.toMicros(120), 3);
+    private final Histogram whole = new Histogram(TimeUnit.SECONDS.toMicros(120), 3);
+    private final AtomicLong delivered = new AtomicLong();
+    private volatile Consumer<String> ended = id -> { };
+
+    /** {@code windowMs}: for so long venues drop a repeat of a key. */
+    public Ledger(long windowMs) {
+        windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMs);
+    }
+
+    /** Tells of each order's first end: delivered, or told to the platform; on the thread that saw it. */
+    void onEnd(Consumer<String> told) {
+        ended = told;
+    }
+
+    void handedIn(String id, Effect effect) {
+        orders.put(id, new Order(id, effect));
+    }
+
+    void heard(String id, boolean taken) {
+        Order order = orders.get(id);
+        synchronized (order) {
+            order.heard = taken ? Heard.TAKEN : Heard.TURNED_AWAY;
+        }
+    }
+
+    boolean hasEnded(String id) {
+        Order order = orders.get(id);
+        synchronized (order) {
+            return order.ended;
+        }
+    }
+
+    /** A venue has an order; false: its key was here within the window, and it is not run again. */
+    boolean run(String id) {
+        Order order = orders.get(id);
+        if (order == null) {
+            return false;
+        }
+        boolean first;
+        synchronized (order) {
+            long now = System.nanoTime();
+            first = order.runs++ == 0;
+            if (first) {
+                order.firstRunNanos = now;
+            } else if (now - order.firstRunNanos > windowNanos) {
+                order.ranPastWindow = true;
+            }
+        }
+        return first;
+    }
+
+    /** A venue's 200 for this order is written. */
+    void delivered(String id) {
+        Order order = orders.get(id);
+        if (order == null) {
+            return;
+        }
+        if (end(order)) {
+            delivered.incrementAndGet();
+            latency.recordValue(Math.min(TimeUnit.SECONDS.toMicros(120),
+                    TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - order.sentNanos)));
+        }
+    }
+
+    /** The platform was told of this order's end. */
+    void noticed(String id, boolean refused) {
+        Order order = orders.get(id);
+        if (order == null) {
+            return;
+        }
+        synchronized (order) {
+            order.refused |= refused;
+            order.failed |= !refused;
+        }
+        end(order);
+    }
+
+    private boolean end(Order order) {
+        synchronized (order) {
+            if (order.ended) {
+                return false;
+            }
+            order.ended = true;
+        }
+        ended.accept(order.id);
+        return true;
+    }
+
+    /** Orders delivered so far. */
+    public long deliveredSoFar() {
+        return delivered.get();
+    }
+
+    /** Microseconds from hand-in to a venue's 200, of all so far. */
+    public synchronized Histogram latency() {
+        whole.add(latency.getIntervalHistogram());
+        return whole.copy();
+    }
+
+    /** Forgets the latencies so far: what came before was warming up. */
+    public synchronized void forgetLatency() {
+        latency.reset();
+        whole.reset();
+    }
+
+    /** Taken, and without an end. */
+    public boolean allEnded() {
+        return account().lost() == 0;
+    }
+
+    /** The account now. */
+    public Account account() {
+        Collection<Order> all = orders.values();
+        long[] n = new long[10];
+        for (Order order : all) {
+            synchronized (order) {
+                count(order, n);
+            }
+        }
+        return new Account(n[0], n[1], n[2], n[3], n[4], n[5], n[6], n[7], n[8], n[9]);
+    }
+
+    private static void count(Order order, long[] n) {
+        n[0]++;
+        boolean taken = order.heard == Heard.TAKEN;
+        n[order.heard == Heard.TAKEN ? 1 : order.heard == Heard.TURNED_AWAY ? 2 : 3]++;
+        if (taken) {
+            n[order.refused ? 5 : order.failed ? 6 : order.ended ? 4 : 7]++;
+        }
+        boolean twice = order.runs > 1 && (order.effect == Effect.ONCE || order.ranPastWindow);
+        // Whoever heeds such a refusal hands in again what has run.
+        boolean givenBackThoughRun = order.refused && order.runs > 0;
+        n[8] += twice || givenBackThoughRun ? 1 : 0;
+        n[9] += order.effect == Effect.KEYED ? Math.max(0, order.runs - 1) : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/standin/TrialWorld.java
@@ -0,0 +1,128 @@
+package slipfield.standin;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** All that a sender meets, on free ports of the loopback: venues, an agent, desks; and its configuration. */
+public final class TrialWorld implements AutoCloseable {
+    static final String KEYED = "order";
+    static final String ONCE = "once";
+    static final String TENANT = "desk";
+    /** Venues drop a repeat of a key for so long. */
+    public static final long WINDOW_MS = 10_000;
+    private static final long AIM_MS = 2000;
+
+    /**
+     * What a run is of.
+     *
+     * @param venues how many venues
+     * @param venuePerSecond orders a second that each takes
+     * @param serviceMicros how long each takes over an order
+     * @param giveUpMs how long an order may take
+     * @param mostOpen messages that the sender holds at most
+     * @param slots attempts that it has out at most
+     */
+    public record Size(int venues, double venuePerSecond, long serviceMicros, long giveUpMs, int mostOpen,
+            int slots) {
+    }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final Ledger ledger = new Ledger(WINDOW_MS);
+    private final List<Venue> venues = new ArrayList<>();
+    private final Platform platform;
+    private final Desks desks;
+    private final InetSocketAddress sender;
+
+    /** Builds it, and writes the sender's {@code config.json} into this folder. */
+    public TrialWorld(Path folder, Size size) throws IOException {
+        for (int i = 0; i < size.venues; i++) {
+            venues.add(new Venue(group, "venue-" + i, ledger, size.venuePerSecond, size.serviceMicros));
+        }
+        platform = new Platform(group, ledger, venues);
+        sender = freeAddress();
+        desks = new Desks(group.next(), sender, ledger, size.giveUpMs);
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve("config.json"), config(size));
+    }
+
+    private String config(Size size) {
+        ObjectNode config = JsonMapper.builder().build().createObjectNode();
+        config.put("name", "sender").put("listen", "127.0.0.1:" + sender.getPort())
+                .put("discovery", "127.0.0.1:" + platform.address().getPort()).put("seed", "1");
+        config.putObject("limits").put("sockets", 1024).put("disk_mb", 12);
+        ObjectNode settings = config.putObject("settings");
+        ArrayNode classes = settings.putArray("classes");
+        classes.addObject().put("name", KEYED).put("aim_ms", AIM_MS).put("give_up_ms", size.giveUpMs)
+                .put("repeat", "keyed").put("window_ms", WINDOW_MS);
+        classes.addObject().put("name", ONCE).put("aim_ms", AIM_MS).put("give_up_ms", size.giveUpMs)
+                .put("repeat", "unsafe");
+        settings.putArray("tenants").addObject().put("name", TENANT);
+        settings.putArray("flavors").add("m");
+        settings.putArray("zones").add("a");
+        ObjectNode family = settings.putObject("family_info").put("workers", size.slots);
+        family.putArray("batch_by_kind").add(1);
+        family.putArray("separate_routes").add(false);
+        settings.put("fleet_size", 1);
+        settings.putObject("limits").put("most_tries", 6).put("second_copies", false).put("cancel", true)
+                .put("max_open", size.mostOpen).put("dial_timeout_ms", 1000).put("keepalive_ms", 15_000);
+        settings.putObject("rules").put("start_capacity", 0.2).put("warm_after_ms", 12_000).put("fall_multiple", 2)
+                .put("fall_ms", 1500);
+        return config.toPrettyString();
+    }
+
+    /** A free port; should another take it before the sender does, that one's start says so. */
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+
+    /** Where desks connect to. */
+    public InetSocketAddress sender() {
+        return sender;
+    }
+
+    /** What became of each order. */
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    /** The venues. */
+    public List<Venue> venues() {
+        return venues;
+    }
+
+    /** The desks. */
+    public Desks desks() {
+        return desks;
+    }
+
+    /** Waits until all that was taken has ended, for so long at most. */
+    public void awaitEnds(long mostMs) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mostMs);
+        while (!ledger.allEnded() && System.nanoTime() < end) {
+            Thread.sleep(20);
+        }
+    }
+
+    @Override
+    public void close() {
+        desks.close();
+        venues.forEach(Venue::close);
+        platform.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/standin/Venue.java
@@ -0,0 +1,137 @@
+package slipfield.standin;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/** A stand-in venue: runs the orders that reach it, tells the ledger of each, and misbehaves when it is told to. */
+public final class Venue implements AutoCloseable {
+    /** What it does with an order. */
+    public enum Mood {
+        /** Runs it, and answers 200. */
+        UP,
+        /** Reads it and does nothing; connections stay open. */
+        SILENT,
+        /** Resets the connection unread. */
+        RESET,
+        /** Runs it, and answers 200 three seconds later. */
+        LATE,
+        /** Runs it, and answers what is not HTTP. */
+        SPOILT
+    }
+
+    private static final long LATE_MS = 3000;
+
+    private final String id;
+    private final Ledger ledger;
+    private final double mostPerSecond;
+    private final long serviceMicros;
+    private final HttpServer server;
+    private volatile Mood mood = Mood.UP;
+    private double tokens;
+    private long filledNanos = System.nanoTime();
+
+    /**
+     * Listens on a free port.
+     *
+     * @param mostPerSecond orders above this rate are turned away with 429 and the time to come back
+     * @param serviceMicros from an order's last byte to its answer, at least
+     */
+    public Venue(EventLoopGroup group, String id, Ledger ledger, double mostPerSecond, long serviceMicros) {
+        this.id = id;
+        this.ledger = ledger;
+        this.mostPerSecond = mostPerSecond;
+        this.serviceMicros = serviceMicros;
+        this.tokens = mostPerSecond / 10;
+        this.server = new HttpServer(group, 0, this::asked);
+    }
+
+    /** Its name in the list. */
+    public String id() {
+        return id;
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    /** What it does now. */
+    public Mood mood() {
+        return mood;
+    }
+
+    /** From now on it does this. */
+    public void mood(Mood next) {
+        mood = next;
+    }
+
+    private void asked(Channel channel, FullHttpRequest request) {
+        String order = request.headers().get("X-Call-Id", "");
+        switch (mood) {
+            case SILENT -> { }
+            case RESET -> {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            }
+            case SPOILT -> {
+                ledger.run(order);
+                // Past the codec, which writes HTTP only.
+                channel.pipeline().firstContext()
+                        .writeAndFlush(Unpooled.copiedBuffer("no such protocol\r\n\r\n", StandardCharsets.US_ASCII));
+            }
+            case LATE -> {
+                ledger.run(order);
+                channel.eventLoop().schedule(() -> delivered(channel, order), LATE_MS, TimeUnit.MILLISECONDS);
+            }
+            case UP -> {
+                long waitMs = waitMs();
+                if (waitMs > 0) {
+                    FullHttpResponse full = HttpServer.response(429, "");
+                    full.headers().set(HttpHeaderNames.RETRY_AFTER, waitMs / 1000.0);
+                    channel.writeAndFlush(full);
+                    return;
+                }
+                ledger.run(order);
+                if (serviceMicros == 0) {
+                    delivered(channel, order);
+                } else {
+                    channel.eventLoop().schedule(() -> delivered(channel, order), serviceMicros,
+                            TimeUnit.MICROSECONDS);
+                }
+            }
+        }
+    }
+
+    private void delivered(Channel channel, String order) {
+        HttpServer.answer(channel, 200, "").addListener(f -> {
+            if (f.isSuccess()) {
+                ledger.delivered(order);
+            }
+        });
+    }
+
+    /** A token bucket that holds a tenth of a second; returns how long it has been too empty for, or 0. */
+    private synchronized long waitMs() {
+        long now = System.nanoTime();
+        tokens = Math.min(Math.max(1, mostPerSecond / 10), tokens + (now - filledNanos) * mostPerSecond / 1e9);
+        filledNanos = now;
+        if (tokens >= 1) {
+            tokens--;
+            return 0;
+        }
+        return Math.max(1, (long) ((1 - tokens) * 1000 / mostPerSecond));
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/slipfield/cli/CliTest.java
@@ -0,0 +1,103 @@
+package slipfield.cli;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+import slipfield.standin.SenderProcess;
+import slipfield.standin.TrialWorld;
+
+class CliTest {
+    private static final Path OLDER = Path.of("src/test/resources/journal-before-claims.bin");
+
+    @TempDir
+    Path folder;
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    private int run(String... args) {
+        return new CommandLine(new Cli()).setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true))
+                .execute(args);
+    }
+
+    @Test
+    void helpNamesTheFirstStepAndBadArgumentsSayWhatIsWrong() {
+        assertEquals(0, run("--help"));
+        assertTrue(out.toString().contains("slipfield try"), out.toString());
+        assertEquals(2, run());
+        assertEquals(2, run("sevre"));
+        assertTrue(err.toString().contains("serve"), err.toString());
+        assertEquals(2, run("try", "--rate", "0"));
+        assertTrue(err.toString().contains("--rate is 1 to 20000"), err.toString());
+    }
+
+    @Test
+    void aJournalIsToldAndNotChanged() throws Exception {
+        Files.copy(OLDER, folder.resolve("journal"));
+        assertEquals(0, run("journal", "dump", folder.toString()));
+        String told = out.toString();
+        assertTrue(told.contains("one  class order, tenant acme, destination 7, 5 bytes"), told);
+        assertTrue(told.contains("attempt at s-0") && told.contains("never ran"), told);
+        assertTrue(told.contains("attempt at s-1") && told.contains("may have run"), told);
+        assertTrue(told.contains("ended, refused: still to hear: platform"), told);
+        assertTrue(told.contains("2 held; 1 ids that are over"), told);
+        assertEquals(0, run("journal", "verify", folder.toString()));
+        assertTrue(out.toString().contains("bytes torn off at the end"), out.toString());
+        assertArrayEquals(Files.readAllBytes(OLDER), Files.readAllBytes(folder.resolve("journal")));
+        assertEquals(1, Files.list(folder).count());
+    }
+
+    @Test
+    void aDamagedJournalIsToldByTheExitCode() throws Exception {
+        byte[] bytes = Files.readAllBytes(OLDER);
+        Arrays.fill(bytes, 60, 80, (byte) 0);
+        Files.write(folder.resolve("journal"), bytes);
+        assertEquals(1, run("journal", "verify", folder.toString()));
+        assertTrue(out.toString().contains("damaged"), out.toString());
+        assertEquals(1, run("journal", "dump", folder.resolve("none").toString()));
+        assertTrue(err.toString().contains("no journal at"), err.toString());
+    }
+
+    /** The main job as a newcomer runs it: the real program, killed once, and a venue that falls silent. */
+    @Test
+    void aTryEndsInAGoodVerdict() throws Exception {
+        Path json = folder.resolve("result.json");
+        assertEquals(0, run("try", "--seconds", "4", "--rate", "50", "--json", json.toString()), out.toString());
+        assertTrue(out.toString().contains("GOOD"), out.toString());
+        assertTrue(out.toString().contains("is killed (SIGKILL)"), out.toString());
+        JsonNode result = JsonMapper.builder().build().readTree(Files.readString(json));
+        assertTrue(result.path("delivered").asInt() > 0);
+        assertEquals(result.path("taken").asInt(), result.path("delivered").asInt() + result.path("refused").asInt()
+                + result.path("failed").asInt());
+    }
+
+    /** Another takes the port that the sender was to have: its log is told, and nothing hangs. */
+    @Test
+    void aPortThatIsTakenIsSaid() throws Exception {
+        try (TrialWorld world = new TrialWorld(folder, new TrialWorld.Size(1, 100, 0, 2000, 10, 4));
+                SenderProcess sender = new SenderProcess(folder, List.of(), List.of())) {
+            JsonNode config = JsonMapper.builder().build().readTree(Files.readString(folder.resolve("config.json")));
+            int port = Integer.parseInt(config.path("listen").asText().split(":")[1]);
+            try (ServerSocket other = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                String told = assertThrows(IOException.class, sender::start)
+                        .getMessage();
+                assertTrue(told.contains("did not start") && told.contains("127.0.0.1:" + other.getLocalPort()), told);
+            }
+        }
+    }
+}
--- a/src/test/java/slipfield/front/http/IntakeTest.java
+++ b/src/test/java/slipfield/front/http/IntakeTest.java
@@ -1,6 +1,7 @@
 package slipfield.front.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -9,6 +10,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.BufferedInputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -162,6 +164,35 @@
         assertEquals(List.of("id-4"), desk.asked);
     }
 
+    /** Found on reload days: at a sender's orderly end those who had connected to a late loop were reset. */
+    @Test
+    void whoHasConnectedBeforeTheListenerClosesIsAnswered() throws Exception {
+        EventLoop loop = group.next();
+        NotingDesk desk = new NotingDesk();
+        Intake intake = new Intake(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MOST, desk);
+        InetSocketAddress address = intake.listen();
+        CountDownLatch written = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                written.await();
+                intake.close();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        for (int i = 0; i < 5; i++) {
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+            submit(sockets.get(i), "id-" + i);
+        }
+        written.countDown();
+        for (Socket socket : sockets) {
+            Stub.Message answer = Stub.read(new BufferedInputStream(socket.getInputStream()), 0);
+            assertEquals("HTTP/1.1 503 Service Unavailable", answer.line());
+        }
+        assertEquals(5, desk.asked.size());
+        assertThrows(ConnectException.class, () -> new Socket(address.getAddress(), address.getPort()));
+    }
+
     private static void keepBusy(EventLoop loop, CountDownLatch until) {
         loop.execute(() -> {
             try {
