--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -36,7 +36,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
@@ -45,6 +44,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
 import slipfield.core.Desk;
@@ -65,6 +65,9 @@
  */
 public final class Intake implements Front {
     private static final int LONGEST_BODY = 64 * 1024;
+    /** Between the parts of an envelope. */
+    private static final Pattern ENVELOPE = Pattern.compile("[,;\\s]+");
+    private static final String DESTINATION = "dest=";
     /** The id goes into the journal and on to endpoints; one that is longer is no id. */
     private static final int LONGEST_ID = 256;
     /** From connecting, or from a later request's first byte, until the request is whole. */
@@ -553,13 +556,19 @@
         if (budgetMs < 1) {
             throw new BadInput("X-Budget-Ms leaves no time");
         }
-        String destination = Arrays.stream(required(headers, "X-Envelope").split("[,;\\s]+"))
-                .filter(part -> part.startsWith("dest=")).findFirst()
-                .orElseThrow(() -> new BadInput("X-Envelope names no dest")).substring("dest=".length());
-        return new Desk.Submission(id, messageClass, tenant, key, whole(destination, "dest"), budgetMs,
+        return new Desk.Submission(id, messageClass, tenant, key, destination(headers), budgetMs,
                 ByteBufUtil.getBytes(request.content()), Claim.PLATFORM);
     }
 
+    private static long destination(HttpHeaders headers) throws BadInput {
+        for (String part : ENVELOPE.split(required(headers, "X-Envelope"))) {
+            if (part.startsWith(DESTINATION)) {
+                return whole(part.substring(DESTINATION.length()), "dest");
+            }
+        }
+        throw new BadInput("X-Envelope names no dest");
+    }
+
     private static String required(HttpHeaders headers, String name) throws BadInput {
         String value = headers.get(name);
         if (value == null || value.isBlank()) {
--- a/src/main/java/slipfield/policy/Logic.java
+++ b/src/main/java/slipfield/policy/Logic.java
@@ -9,9 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The decision module. Its interface, with all types, events and actions, is Relay.java.
@@ -263,7 +263,7 @@
         deliveries.put(message.id(), d);
         keys.taken(d);
         queue.add(d);
-        timers.add(d.deadline - ANSWER_MARGIN_MS, () -> finish(d));
+        d.giveUp = timers.add(d.deadline - ANSWER_MARGIN_MS, () -> finish(d));
         return d;
     }
 
@@ -482,13 +482,15 @@
         double timeout = Math.min(target.timeout(d.type), d.deadline - clock);
         actions.send(d.message.id(), target.entry.id(), timeout);
         double offset = d.type.aimMs() * COPY_OFFSET;
-        timers.add(clock + offset, () -> offsetPassed(d, attempt, copy));
+        if (settings.copies() && !copy) {
+            timers.add(clock + offset, () -> offsetPassed(d, attempt));
+        }
         timers.add(clock + Math.max(offset, target.patience()), call::overdue);
     }
 
     /** The scheduled offset after a send: a copy may join the wave. */
-    private void offsetPassed(Delivery d, Attempt attempt, boolean copy) {
-        boolean races = attempt.out && d.type.effect() != Effect.UNSAFE && settings.copies() && !copy;
+    private void offsetPassed(Delivery d, Attempt attempt) {
+        boolean races = attempt.out && d.type.effect() != Effect.UNSAFE;
         if (races && !d.ended && slotsUsed < settings.slots() && copies.allows()) {
             choose(d, true).ifPresent(target -> send(d, target, true));
         }
@@ -565,6 +567,8 @@
     private void forget(Delivery d) {
         if (d.out == 0) {
             deliveries.remove(d.message.id());
+            // Else each message would be held in memory till its time, long after its end.
+            timers.cancel(d.giveUp);
         }
     }
 
@@ -597,6 +601,7 @@
         boolean refused;
         int out;
         boolean ended;
+        Timers.Timer giveUp;
 
         Delivery(Message message) {
             this.message = message;
@@ -1283,26 +1288,32 @@
 
     /** What is due later, and the one wake that is asked for it. */
     private final class Timers {
-        private final PriorityQueue<Timer> due =
-                new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::number));
+        private final TreeSet<Timer> due =
+                new TreeSet<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::number));
         private long count;
         private double asked = Double.POSITIVE_INFINITY;
 
         private record Timer(double at, long number, Runnable action) {
         }
 
-        void add(double at, Runnable action) {
-            due.add(new Timer(at, count++, action));
+        Timer add(double at, Runnable action) {
+            Timer timer = new Timer(at, count++, action);
+            due.add(timer);
+            return timer;
+        }
+
+        void cancel(Timer timer) {
+            due.remove(timer);
         }
 
         void run(double now) {
-            while (!due.isEmpty() && due.peek().at() <= now) {
-                due.remove().action().run();
+            while (!due.isEmpty() && due.first().at() <= now) {
+                due.pollFirst().action().run();
             }
         }
 
         void ask(double now, double opening) {
-            double next = Math.min(opening, due.isEmpty() ? Double.POSITIVE_INFINITY : due.peek().at());
+            double next = Math.min(opening, due.isEmpty() ? Double.POSITIVE_INFINITY : due.first().at());
             if (asked <= now + CLOCK_MARGIN_MS || next < asked) {
                 asked = next;
                 if (next < Double.POSITIVE_INFINITY) {
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -14,9 +14,11 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -60,9 +62,15 @@
     /** A connection rests for so long before its next call, lest what comes behind an answer be taken for one. */
     private static final long REST_MS = 10;
     private static final String TOLD_RATE = Params.TOLD_RATE + "=";
+    /** Between the figures of a report. */
+    private static final Pattern FIGURES = Pattern.compile("[,\\s]+");
     /** Longest wait that is believed: no message is held for so long. */
     private static final double LONGEST_WAIT_MS = 60_000;
 
+    /** Names are ours; values are checked, since clients wrote some of them. */
+    private static final HttpHeadersFactory HEADERS =
+            DefaultHttpHeadersFactory.headersFactory().withNameValidation(false);
+
     private final EventLoop loop;
     private final Ends ends;
     private final Bootstrap bootstrap;
@@ -314,7 +322,8 @@
 
         private FullHttpRequest request() {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
-                    "/v1/messages", Unpooled.wrappedBuffer(held.body));
+                    "/v1/messages", Unpooled.wrappedBuffer(held.body), HEADERS,
+                    DefaultHttpHeadersFactory.trailersFactory());
             request.headers()
                     .set(HttpHeaderNames.HOST, Config.hostPort(peer.address))
                     .set("X-Call-Id", held.id)
@@ -391,7 +400,11 @@
 
     /** The rate in an answer's report, as {@code TEXT x0=0.4, x1=25}; 0 where none can be read. */
     private static double toldRate(HttpResponse response) {
-        for (String figure : response.headers().get("X-Load-Report", "").split("[,\\s]+")) {
+        String report = response.headers().get("X-Load-Report");
+        if (report == null) {
+            return 0;
+        }
+        for (String figure : FIGURES.split(report)) {
             if (figure.startsWith(TOLD_RATE)) {
                 try {
                     return Double.parseDouble(figure.substring(TOLD_RATE.length()));
@@ -411,6 +424,7 @@
     private final class FirstLine extends ChannelInboundHandlerAdapter {
         private static final int LONGEST = 4096;
         private static final String START = "HTTP/1.";
+        private static final String PLAIN = "HTTP/1.1 ";
         /** HTTP/1.1, a code of three digits, and a reason if any. */
         private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?");
 
@@ -439,12 +453,44 @@
                 // Nobody asked for this: the connection can't be trusted any more.
                 connection.close();
             }
+            if (connection.awaitsFirstLine() && line.length() == 0 && !inInterimHead && plain(bytes)) {
+                return;
+            }
             for (int i = bytes.readerIndex(); i < bytes.writerIndex() && connection.awaitsFirstLine(); i++) {
                 connection.answerBegins();
                 take((char) (bytes.getByte(i) & 0xff));
             }
         }
 
+        /** The common case, a final status in one read, without a copy of the line. */
+        private boolean plain(ByteBuf bytes) {
+            int at = bytes.readerIndex();
+            int end = bytes.indexOf(at, Math.min(bytes.writerIndex(), at + LONGEST), (byte) '\n');
+            if (end - at < PLAIN.length() + 4) {
+                return false;
+            }
+            for (int i = 0; i < PLAIN.length(); i++) {
+                if (bytes.getByte(at + i) != PLAIN.charAt(i)) {
+                    return false;
+                }
+            }
+            int code = 0;
+            for (int i = at + PLAIN.length(); i < at + PLAIN.length() + 3; i++) {
+                int digit = bytes.getByte(i) - '0';
+                if (digit < 0 || digit > 9) {
+                    return false;
+                }
+                code = 10 * code + digit;
+            }
+            byte behind = bytes.getByte(at + PLAIN.length() + 3);
+            if (code < 200 || behind != ' ' && behind != '\r') {
+                return false;
+            }
+            connection.answerBegins();
+            connection.firstLine(code);
+            return true;
+        }
+
         private void take(char c) {
             if (c != '\n') {
                 line.append(c);
