--- a/src/main/java/slipfield/core/Desk.java
+++ b/src/main/java/slipfield/core/Desk.java
@@ -58,9 +58,15 @@
     /** A peer of this outcome has left for good: answers that were not to be kept for it are dropped. */
     void left(String outcome, String peer);
 
-    /** Journals a message, or refuses it. */
+    /**
+     * Takes a message on, or refuses it. It is in the journal when {@link #written} has said so: only then may its
+     * client be told, and it must be called before the loop's next turn.
+     */
     Taking take(Submission submission);
 
-    /** The client has heard that it was taken, or never will. */
+    /** Writes what was taken, in one piece; false: none of it could be written, and each must be refused. */
+    boolean written();
+
+    /** The client has heard that it was taken, or never will; what was not {@link #written} it never will. */
     void answered(Held held, boolean heard);
 }
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -250,6 +250,7 @@
     private double openTurn() {
         if (!turnOpen) {
             turnOpen = true;
+            journal.begin();
             clock = now();
             loop.execute(this::endTurn);
         }
@@ -266,6 +267,9 @@
         } finally {
             turnOpen = false;
         }
+        if (!flushed()) {
+            notMade();
+        }
         if (TRACED) {
             trace.leave();
             trace.enter(Trace.Part.NOTICES);
@@ -287,7 +291,35 @@
         return System.nanoTime();
     }
 
+    /** What a turn has written is in the journal in one piece, before anything of it leaves. */
+    private boolean flushed() {
+        try {
+            journal.flush();
+            return true;
+        } catch (IOException e) {
+            Log.line("a turn is not in the journal: " + e.getMessage());
+            return false;
+        } finally {
+            if (turnOpen) {
+                journal.begin();
+            }
+        }
+    }
+
+    /** Unrecorded an attempt could run twice: those are not made. */
+    private void notMade() {
+        for (Decided d : decided) {
+            Held.Attempt attempt = d.held.attempts.get(d.attempt);
+            attempt.neverRan = true;
+            loop.execute(() -> attemptEnded(d.held, d.attempt, Relay.Outcome.NOT_SENT, false, 0, 0, 0));
+        }
+        decided.clear();
+    }
+
     private void makeCalls() {
+        if (!decided.isEmpty() && !flushed()) {
+            notMade();
+        }
         long decidedNanos = startNanos + (long) (clock * 1e6);
         for (Decided d : decided) {
             calls.put(out(d.held.number, d.attempt),
@@ -467,6 +499,7 @@
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
             double toldRate, double took) {
+        double now = openTurn();
         try {
             if (!held.over && (gone || outcome == Relay.Outcome.DELIVERED)) {
                 delivered(held);
@@ -478,7 +511,7 @@
             Log.line("an end is not in the journal: " + e.getMessage());
         }
         boolean finished = held.over;
-        event(() -> relay.attemptEnded(openTurn(), new Relay.AttemptEnd(held.number, attempt, outcome, took,
+        event(() -> relay.attemptEnded(now, new Relay.AttemptEnd(held.number, attempt, outcome, took,
                 finished, waitMs, toldRate)));
     }
 
@@ -656,6 +689,7 @@
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
                     s.destination(), life.wallMs() + leftMs, s.body(), s.claim());
             try {
+                journal.begin();
                 journal.taken(held);
             } catch (IOException e) {
                 return Taking.refused("no room", 0);
@@ -666,6 +700,11 @@
             return Taking.taken(held);
         }
 
+        @Override
+        public boolean written() {
+            return flushed();
+        }
+
         @Override
         public void answered(Held held, boolean heard) {
             if (held.told || held.over) {
--- a/src/main/java/slipfield/daemon/Rehearsal.java
+++ b/src/main/java/slipfield/daemon/Rehearsal.java
@@ -129,6 +129,11 @@
             return Taking.refused("rehearsal", 0);
         }
 
+        @Override
+        public boolean written() {
+            return true;
+        }
+
         @Override
         public void answered(Held held, boolean heard) {
         }
--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -36,6 +36,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
@@ -104,11 +105,16 @@
     private final ServerBootstrap bootstrap;
     /** What was read and not looked at yet. */
     private final Deque<Pending> pending = new ArrayDeque<>();
+    private final List<Taken> taken = new ArrayList<>();
     /** Absent unless the sender is traced. */
     private Trace trace;
     private Listener listener;
     private boolean closing;
 
+    /** A message whose 202 waits for the journal. */
+    private record Taken(Client client, Held held, boolean keepAlive) {
+    }
+
     private record Pending(Client client, ChannelHandlerContext ctx, Object bytes) {
     }
 
@@ -222,6 +228,7 @@
                 pending.remove();
             }
         }
+        settle();
         if (trace != null) {
             trace.leave();
         }
@@ -236,6 +243,35 @@
         return clients.values().stream().mapToInt(Set::size).sum();
     }
 
+    /** Whether a 202 waits for the journal on this connection, or for this id. */
+    private boolean awaited(Client client, String id) {
+        for (Taken t : taken) {
+            if (t.client == client || t.held.id.equals(id)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Answers all whose messages were taken, once these are in the journal, in one write. */
+    private void settle() {
+        if (taken.isEmpty()) {
+            return;
+        }
+        boolean written = desk.written();
+        List<Taken> told = List.copyOf(taken);
+        taken.clear();
+        for (Taken t : told) {
+            if (written) {
+                t.client.end(t.keepAlive, answer(HttpResponseStatus.ACCEPTED, ""))
+                        .addListener(f -> desk.answered(t.held, f.isSuccess()));
+            } else {
+                desk.answered(t.held, false);
+                t.client.end(t.keepAlive, answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room"));
+            }
+        }
+    }
+
     private void sweep() {
         long now = System.nanoTime();
         clients.forEach((state, members) -> {
@@ -439,6 +475,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (awaited(this, "")) {
+                // Answers go out in the order of a connection's requests.
+                settle();
+            }
             if (state == State.ENDING) {
                 // What lies behind the last request may have been hidden in its body.
                 return;
@@ -467,7 +507,12 @@
                 end(request, HttpResponseStatus.BAD_REQUEST, bad.getMessage());
                 return;
             }
-            Optional<Desk.Known> before = desk.before(submission.id(), submission.claim());
+            // What is said of an id must be true of the journal.
+            String id = submission.id();
+            if (awaited(this, id)) {
+                settle();
+            }
+            Optional<Desk.Known> before = desk.before(id, submission.claim());
             if (before.isPresent()) {
                 end(request, before.get() == Desk.Known.ENDED ? HttpResponseStatus.CONFLICT
                         : HttpResponseStatus.ACCEPTED, "");
@@ -483,8 +528,7 @@
             }
             Desk.Taking taking = desk.take(submission);
             if (taking.held().isPresent()) {
-                Held held = taking.held().get();
-                end(request, HttpResponseStatus.ACCEPTED, "").addListener(f -> desk.answered(held, f.isSuccess()));
+                taken.add(new Taken(this, taking.held().get(), HttpUtil.isKeepAlive(request)));
             } else {
                 FullHttpResponse refusal = answer(HttpResponseStatus.SERVICE_UNAVAILABLE, taking.reason());
                 if (taking.waitMs() > 0) {
@@ -499,7 +543,11 @@
         }
 
         private ChannelFuture end(FullHttpRequest request, FullHttpResponse answer) {
-            if (!closing && HttpUtil.isKeepAlive(request)) {
+            return end(HttpUtil.isKeepAlive(request), answer);
+        }
+
+        private ChannelFuture end(boolean keepAlive, FullHttpResponse answer) {
+            if (!closing && keepAlive) {
                 return channel.writeAndFlush(answer);
             }
             enter(State.ENDING);
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -92,6 +92,11 @@
     private long liveBytes;
     private long numbers;
     private Replayed replayed;
+    /** Records that are not in the file yet. */
+    private final ByteArrayOutputStream batch = new ByteArrayOutputStream();
+    private boolean batching;
+    /** Records were lost that later ones count on, such as attempts by their place: all is written anew first. */
+    private boolean stale;
     /** Absent unless the sender is traced. */
     private Trace trace;
 
@@ -494,14 +499,50 @@
         }
     }
 
+    /** Records are collected from now on, until {@link #flush}. */
+    public void begin() {
+        batching = true;
+    }
+
+    /**
+     * Writes what was collected, in one piece. If it throws, none of it is in the file: what it stood for must not be
+     * done. What a compaction has meanwhile taken into the new file counts as written.
+     */
+    public void flush() throws IOException {
+        batching = false;
+        if (batch.size() == 0) {
+            return;
+        }
+        byte[] records = batch.toByteArray();
+        batch.reset();
+        if (trace != null) {
+            trace.enter(Trace.Part.JOURNAL);
+        }
+        try {
+            writeAll(channel, records);
+        } catch (IOException e) {
+            size -= records.length;
+            stale = true;
+            throw e;
+        } finally {
+            if (trace != null) {
+                trace.leave();
+            }
+        }
+    }
+
     private void writeRecord(byte[] record) throws IOException {
-        if (size + liveBytes + 2L * record.length > bound) {
+        if (stale || size + liveBytes + 2L * record.length > bound) {
             compact();
         }
         if (size + record.length > bound) {
             throw new IOException("the journal is full");
         }
-        writeAll(channel, record);
+        if (batching) {
+            batch.writeBytes(record);
+        } else {
+            writeAll(channel, record);
+        }
         size += record.length;
     }
 
@@ -556,6 +597,9 @@
         channel.close();
         channel = fresh;
         size = bytes.size();
+        // Whatever was collected is told by what is live.
+        batch.reset();
+        stale = false;
     }
 
     // ---- reading ----
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -213,7 +213,7 @@
             }
             Desk.Taking taking = world.desk.take(new Desk.Submission(id, type, "acme", Optional.empty(), 7, 20_000,
                     new byte[] {1}, claim));
-            taking.held().ifPresent(held -> world.desk.answered(held, true));
+            taking.held().ifPresent(held -> world.desk.answered(held, world.desk.written()));
             return taking.held().isPresent() ? "taken" : taking.reason();
         });
     }
--- a/src/test/java/slipfield/front/http/IntakeTest.java
+++ b/src/test/java/slipfield/front/http/IntakeTest.java
@@ -83,13 +83,18 @@
             return Taking.refused("no room", 0);
         }
 
+        @Override
+        public boolean written() {
+            return true;
+        }
+
         @Override
         public void answered(Held held, boolean heard) {
         }
     }
 
     /** A desk that knows all, has room for nothing, and notes what it was asked to take. */
-    private static final class NotingDesk implements Desk {
+    private static class NotingDesk implements Desk {
         private final List<String> asked = new CopyOnWriteArrayList<>();
 
         @Override
@@ -132,6 +137,11 @@
             return Taking.refused("no room", 0);
         }
 
+        @Override
+        public boolean written() {
+            return true;
+        }
+
         @Override
         public void answered(Held held, boolean heard) {
         }
@@ -193,6 +203,82 @@
         assertThrows(ConnectException.class, () -> new Socket(address.getAddress(), address.getPort()));
     }
 
+    /** Takes all, and notes when the journal was written; {@code works}: whether it could be. */
+    private static final class TakingDesk extends NotingDesk {
+        private final boolean works;
+        private final List<String> steps = new CopyOnWriteArrayList<>();
+
+        TakingDesk(boolean works) {
+            this.works = works;
+        }
+
+        @Override
+        public Taking take(Submission s) {
+            steps.add("taken");
+            return Taking.taken(new Held(steps.size(), s.id(), s.messageClass(), "", s.key(), 7, 0, s.body()));
+        }
+
+        @Override
+        public boolean written() {
+            steps.add("written");
+            return works;
+        }
+
+        @Override
+        public void answered(Held held, boolean heard) {
+            steps.add(heard ? "told" : "not told");
+        }
+    }
+
+    private List<String> handInAtOnce(TakingDesk desk, String line) throws Exception {
+        EventLoop loop = group.next();
+        Intake intake = new Intake(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MOST, desk);
+        InetSocketAddress address = intake.listen();
+        for (int i = 0; i < 3; i++) {
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+        }
+        Stub.await("all are accepted", () -> loop.submit(intake::clients).syncUninterruptibly().getNow() == 3);
+        CountDownLatch written = new CountDownLatch(1);
+        keepBusy(loop, written);
+        for (int i = 0; i < 3; i++) {
+            submit(sockets.get(i), "id-" + i);
+        }
+        written.countDown();
+        for (Socket socket : sockets) {
+            assertEquals(line, Stub.read(new BufferedInputStream(socket.getInputStream()), 0).line());
+        }
+        // The loop goes on behind the answer that was read last.
+        loop.submit(() -> { }).syncUninterruptibly();
+        return List.copyOf(desk.steps);
+    }
+
+    @Test
+    void whatComesTogetherIsWrittenTogetherAndToldAfterThat() throws Exception {
+        assertEquals(List.of("taken", "taken", "taken", "written", "told", "told", "told"),
+                handInAtOnce(new TakingDesk(true), "HTTP/1.1 202 Accepted"));
+    }
+
+    @Test
+    void whatCannotBeWrittenIsRefused() throws Exception {
+        assertEquals(List.of("taken", "taken", "taken", "written", "not told", "not told", "not told"),
+                handInAtOnce(new TakingDesk(false), "HTTP/1.1 503 Service Unavailable"));
+    }
+
+    @Test
+    void answersKeepTheOrderOfAConnectionsRequests() throws Exception {
+        EventLoop loop = group.next();
+        TakingDesk desk = new TakingDesk(true);
+        Intake intake = new Intake(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MOST, desk);
+        InetSocketAddress address = intake.listen();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        sockets.add(socket);
+        Stub.write(socket, "POST /order HTTP/1.1\r\nHost: x\r\nX-Call-Id: a\r\nX-Budget-Ms: 9000\r\n"
+                + "X-Envelope: dest=7\r\nContent-Length: 0\r\n\r\nGET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+        assertEquals("HTTP/1.1 202 Accepted", Stub.read(in, 0).line());
+        assertEquals("HTTP/1.1 200 OK", Stub.read(in, 0).line());
+    }
+
     private static void keepBusy(EventLoop loop, CountDownLatch until) {
         loop.execute(() -> {
             try {
--- a/src/test/java/slipfield/journal/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -462,6 +462,39 @@
         }
     }
 
+    /** A turn's records go out in one piece; if that fails, a later life knows nothing of it, and of all later ones. */
+    @Test
+    void aTurnThatCannotBeWrittenLeavesNothingOfItself() throws Exception {
+        for (int room = 0; room < 200; room += 13) {
+            Files.deleteIfExists(folder.resolve("journal"));
+            SmallDisk disk = new SmallDisk();
+            try (Journal journal = new Journal(folder, DISK, 12, new LifeClock.Mark(0, 0, 0), disk::open)) {
+                Held first = held(journal, 10);
+                journal.taken(first);
+                long size = journal.size();
+                journal.begin();
+                Held second = held(journal, 200);
+                journal.taken(second);
+                journal.attempt(first, new Held.Attempt("s-1", 1));
+                assertEquals(size, Files.size(folder.resolve("journal")), "nothing is written before the turn's end");
+                disk.room = room;
+                assertThrows(IOException.class, journal::flush);
+                assertEquals(size, Files.size(folder.resolve("journal")));
+                disk.room = Long.MAX_VALUE;
+                journal.withdrawn(second);
+                journal.neverRan(first, 0);
+                journal.attempt(first, new Held.Attempt("s-2", 2));
+            }
+            try (Journal journal = open()) {
+                assertEquals(List.of("id-0"), journal.held().stream().map(h -> h.id).toList());
+                List<Held.Attempt> attempts = journal.held().get(0).attempts;
+                assertEquals(List.of("s-1", "s-2"), attempts.stream().map(a -> a.endpoint).toList());
+                assertEquals(List.of(true, false), attempts.stream().map(a -> a.neverRan).toList());
+                assertEquals(0, journal.replayed().lost());
+            }
+        }
+    }
+
     /** At every byte of a recorded journal: what is held is what the whole records before the cut say. */
     @Test
     void cutAnywhereTheJournalHoldsWhatWasWritten() throws Exception {
