--- a/src/main/java/slipfield/Main.java
+++ b/src/main/java/slipfield/Main.java
@@ -24,10 +24,19 @@
         System.exit(switch (alone) {
             case "serve" -> serve();
             case "simhost" -> simhost();
-            default -> Cli.run(args);
+            default -> commandLine(args);
         });
     }
 
+    private static int commandLine(String[] args) {
+        try {
+            return Cli.run(args);
+        } catch (NoClassDefFoundError e) {
+            System.err.println("the jar alone knows 'serve' and 'simhost'; for all else run bin/slipfield");
+            return 2;
+        }
+    }
+
     /** Runs a sender as its environment configures it; returns the exit code. */
     public static int serve() {
         return Daemon.serve(System.getenv());
