--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -1,6 +1,7 @@
 package slipfield.front.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -12,6 +13,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.CodecException;
@@ -132,6 +134,8 @@
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // A buffer outside the heap for each read would be allocated and freed by the system each time.
+                .childOption(ChannelOption.ALLOCATOR, new PreferHeapByteBufAllocator(ByteBufAllocator.DEFAULT))
                 // Reads until nothing is left, so that a close behind a request is seen with it.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(64, 2048, LONGEST_READ).respectMaybeMoreData(false).maxMessagesPerRead(READS))
--- a/src/main/java/slipfield/standin/TrialWorld.java
+++ b/src/main/java/slipfield/standin/TrialWorld.java
@@ -24,6 +24,7 @@
     /** Venues drop a repeat of a key for so long. */
     public static final long WINDOW_MS = 10_000;
     private static final long AIM_MS = 2000;
+    private static final int SERVERS = 3;
 
     /**
      * What a run is of.
@@ -39,7 +40,12 @@
             int slots) {
     }
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    /**
+     * One thread is the desks' alone, the others are the venues' and the agent's: under full load a stand-in must not
+     * be what bounds the sender.
+     */
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(SERVERS, NioIoHandler.newFactory());
+    private final EventLoopGroup handingIn = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Ledger ledger = new Ledger(WINDOW_MS);
     private final List<Venue> venues = new ArrayList<>();
     private final Platform platform;
@@ -53,7 +59,7 @@
         }
         platform = new Platform(group, ledger, venues);
         sender = freeAddress();
-        desks = new Desks(group.next(), sender, ledger, size.giveUpMs);
+        desks = new Desks(handingIn.next(), sender, ledger, size.giveUpMs);
         Files.createDirectories(folder);
         Files.writeString(folder.resolve("config.json"), config(size));
     }
@@ -62,7 +68,7 @@
         ObjectNode config = JsonMapper.builder().build().createObjectNode();
         config.put("name", "sender").put("listen", "127.0.0.1:" + sender.getPort())
                 .put("discovery", "127.0.0.1:" + platform.address().getPort()).put("seed", "1");
-        config.putObject("limits").put("sockets", 1024).put("disk_mb", 12);
+        config.putObject("limits").put("sockets", 2048).put("disk_mb", 12);
         ObjectNode settings = config.putObject("settings");
         ArrayNode classes = settings.putArray("classes");
         classes.addObject().put("name", KEYED).put("aim_ms", AIM_MS).put("give_up_ms", size.giveUpMs)
@@ -123,6 +129,7 @@
         desks.close();
         venues.forEach(Venue::close);
         platform.close();
+        handingIn.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -10,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -88,6 +90,8 @@
         this.mostIdle = mostIdle;
         this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // A buffer outside the heap for each answer would be allocated and freed by the system each time.
+                .option(ChannelOption.ALLOCATOR, new PreferHeapByteBufAllocator(ByteBufAllocator.DEFAULT))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(dialMs))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -443,6 +447,7 @@
             }
             look((ByteBuf) read);
             ctx.fireChannelRead(read);
+            connection.answerGoesOn();
             if (trace != null) {
                 trace.leave();
             }
@@ -541,6 +546,8 @@
         private HttpResponse head;
         private boolean lineRead;
         private long bodyBytes;
+        /** A byte of the answer has come. */
+        private boolean answerBegun;
         private Future<?> answerTimer;
         private long idleSince;
 
@@ -554,19 +561,28 @@
             lineRead = false;
             bodyBytes = 0;
             answerTimer = null;
+            answerBegun = false;
         }
 
         /** From here on the answer has to end before long. */
         private void answerBegins() {
-            if (answerTimer == null) {
+            answerBegun = true;
+        }
+
+        /** A read is over. Most answers end in their first one and need no timer. */
+        private void answerGoesOn() {
+            if (call != null && answerBegun && answerTimer == null) {
                 answerTimer = loop.schedule(this::spoilt, ANSWER_MS, TimeUnit.MILLISECONDS);
             }
         }
 
         /** A 1xx answer was ahead; the real one may take its time. */
         private void interimEnds() {
-            answerTimer.cancel(false);
-            answerTimer = null;
+            answerBegun = false;
+            if (answerTimer != null) {
+                answerTimer.cancel(false);
+                answerTimer = null;
+            }
         }
 
         private boolean awaitsFirstLine() {
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -267,6 +267,22 @@
         assertEquals(2, world.told.size(), "nobody is told again");
     }
 
+    @Test
+    void whatASecondFrontWasToldIsHeldIsNotWithdrawnWhenTheFirstOneGoes() throws Exception {
+        String known = on(() -> {
+            Held held = world.desk.take(new Desk.Submission("one", "once", "acme", Optional.empty(), 7, 20_000,
+                    new byte[] {1}, DROPS)).held().orElseThrow();
+            world.desk.written();
+            String second = world.desk.before("one", ASKS).orElseThrow().name();
+            // The first one's connection is gone before its answer was out.
+            world.desk.answered(held, false);
+            return second;
+        });
+        assertEquals("HELD", known);
+        end(Relay.Outcome.DELIVERED);
+        awaitTold("one queuedesk-2 DELIVERED", "one queuedesk-1 DELIVERED");
+    }
+
     @Test
     void anAnswerIsKeptForWhoIsAwayAndDroppedWhereThatWasAsked() throws Exception {
         assertEquals("taken", handIn("one", "order", ASKS));
