Consul's catalogue and health as a source of endpoints, with a stand-in Consul

Need: the platform's list lags; other installations keep endpoints and their health in Consul.

Change: directory.consul reads catalogue and health by blocking queries on a loop of its own, several agents in turn, with token, datacenter, namespace, filter, consistency mode and TLS, and registers the sender with a TTL check. directory.merged makes one directory of platform, Consul and the operator's file by the membership module, and keeps the view on disk.

--- a/src/main/java/slipfield/agent/Agent.java
+++ b/src/main/java/slipfield/agent/Agent.java
@@ -61,7 +61,13 @@
         }
     }
 
+    /** Speaks plain HTTP. */
     public Agent(EventLoop loop, InetSocketAddress address) {
+        this(loop, address, channel -> { });
+    }
+
+    /** {@code secured} puts in front of the codec what a connection needs, such as TLS. */
+    public Agent(EventLoop loop, InetSocketAddress address, Consumer<Channel> secured) {
         this.loop = loop;
         this.address = address;
         this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
@@ -70,6 +76,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel fresh) {
+                        secured.accept(fresh);
                         fresh.pipeline().addLast(new HttpClientCodec(),
                                 new HttpObjectAggregator(LONGEST_ANSWER), new Answers());
                     }
--- a/src/main/java/slipfield/cli/TryCommand.java
+++ b/src/main/java/slipfield/cli/TryCommand.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -17,6 +18,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
+import slipfield.standin.ConsulAgent;
 import slipfield.standin.Ledger;
 import slipfield.standin.SenderProcess;
 import slipfield.standin.TrialWorld;
@@ -38,6 +40,12 @@
     /** Part of the run in which a venue is silent. */
     private static final double SILENT_FROM = 0.2;
     private static final double SILENT_TO = 0.6;
+    /** With Consul: parts of the run in which a venue flaps, another is in maintenance, and Consul is away. */
+    private static final double FLAPS_TO = 0.5;
+    private static final double OUT_FROM = 0.7;
+    private static final double OUT_TO = 0.85;
+    private static final double AWAY_FROM = 0.4;
+    private static final double AWAY_TO = 0.65;
 
     @Spec
     private CommandSpec spec;
@@ -50,12 +58,17 @@
     @Option(names = "--kill-at", paramLabel = "S", defaultValue = "-1",
             description = "SIGKILL to the sender after so many seconds; 0: never. Default: half of --seconds")
     private double killAt;
+    @Option(names = "--consul", description = "Endpoints come from a stand-in Consul too: a venue flaps there every second, "
+            + "another is put into maintenance, and Consul is away while the sender is started again.")
+    private boolean consul;
     @Option(names = "--json", paramLabel = "FILE", description = "Writes the result there too.")
     private Path json;
     @Option(names = "--folder", paramLabel = "FOLDER",
             description = "Where configuration, journal and logs go. Default: a new folder that is deleted after a good "
                     + "run")
     private Path folder;
+    private boolean maintained;
+    private boolean consulAway;
 
     @Override
     public Integer call() throws Exception {
@@ -86,7 +99,9 @@
 
     private boolean run(Path at) throws IOException, InterruptedException {
         TrialWorld.Size size = new TrialWorld.Size(VENUES, Math.max(20, rate), SERVICE_MICROS, GIVE_UP_MS, 2000, 64);
-        try (TrialWorld world = new TrialWorld(at, size);
+        Optional<String> membership = consul ? Optional.of("\"precedence\":[\"platform\",\"consul\"]")
+                : Optional.empty();
+        try (TrialWorld world = new TrialWorld(at, size, membership);
                 SenderProcess sender = new SenderProcess(at, List.of(), List.of("-Xmx48m", "-XX:+UseSerialGC"))) {
             sender.start();
             out().printf(Locale.ROOT, "The sender is up; %.0f orders a second for %d s.%n", rate, seconds);
@@ -107,6 +122,9 @@
         for (double t = 0; t < seconds; t = (System.nanoTime() - begun) / 1e9) {
             boolean silent = t >= SILENT_FROM * seconds && t < SILENT_TO * seconds;
             moody.mood(silent ? Venue.Mood.SILENT : Venue.Mood.UP);
+            if (consul) {
+                flip(world, t / seconds, t);
+            }
             if (!killed && t >= kill) {
                 killed = true;
                 sender.kill();
@@ -133,6 +151,24 @@
         out().flush();
     }
 
+    /** Consul at this part of the run. */
+    private void flip(TrialWorld world, double part, double t) {
+        boolean flaps = part < FLAPS_TO && (long) t % 2 == 1;
+        world.consul().check("service:" + world.venues().get(1).id(), flaps ? "critical" : "passing");
+        boolean out = part >= OUT_FROM && part < OUT_TO;
+        if (out != maintained) {
+            maintained = out;
+            world.consul().maintenance(world.venues().get(2).id(), out, "try");
+            out().printf(Locale.ROOT, "%5.1f s  venue-2 is %s maintenance in Consul%n", t, out ? "in" : "out of");
+        }
+        boolean away = part >= AWAY_FROM && part < AWAY_TO;
+        if (away != consulAway) {
+            consulAway = away;
+            world.agents().forEach(a -> a.fault(away ? ConsulAgent.Fault.CLOSES : ConsulAgent.Fault.NONE));
+            out().printf(Locale.ROOT, "%5.1f s  Consul is %s%n", t, away ? "away: its last view stands" : "back");
+        }
+    }
+
     private boolean verdict(TrialWorld world) throws IOException {
         Ledger.Account a = world.ledger().account();
         Histogram latency = world.ledger().latency();
--- a/src/main/java/slipfield/config/Config.java
+++ b/src/main/java/slipfield/config/Config.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import slipfield.config.BadInput;
 import slipfield.config.Params;
 import slipfield.policy.Relay;
@@ -24,7 +26,9 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
               int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double dialMs,
-              Optional<JsonNode> known) {
+              Optional<JsonNode> known, Optional<Path> members) {
+    /** Names the operator's file of further sources of endpoints, if any. */
+    private static final String MEMBERS = "SLIPFIELD_MEMBERS";
     /** The journal is read in one piece at the start and files count as memory: more is never used. */
     private static final double MOST_DISK_MB = 12;
 
@@ -52,7 +56,8 @@
                 (int) settings.numberOr("limits.max_open", Integer.MAX_VALUE),
                 settings.numberOr("limits.dial_timeout_ms", 1000),
                 json.path("known").path("instances").isArray()
-                        ? Optional.of(json.path("known")) : Optional.empty());
+                        ? Optional.of(json.path("known")) : Optional.empty(),
+                Optional.ofNullable(env.get(MEMBERS)).filter(file -> !file.isEmpty()).map(Path::of));
     }
 
     /** An address as {@code 10.0.0.4:7070}; there is no DNS, so a host name is an error. */
@@ -74,6 +79,18 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
+    /** Checks that an object of an operator's file has these fields only: a misspelt one would be passed over. */
+    public static void onlyFields(JsonNode json, Set<String> fields, String place) throws BadInput {
+        if (!json.isObject()) {
+            throw new BadInput(place + " is to be an object, with " + new TreeSet<>(fields));
+        }
+        for (Map.Entry<String, JsonNode> field : json.properties()) {
+            if (!fields.contains(field.getKey())) {
+                throw new BadInput(place + " knows no field '" + field.getKey() + "'; it has " + new TreeSet<>(fields));
+            }
+        }
+    }
+
     /** Nested JSON as the dotted names of the simulator's wire. */
     public static void flatten(String name, JsonNode node, Map<String, String> values) {
         if (node.isObject()) {
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -19,6 +19,7 @@
 import slipfield.core.Sender;
 import slipfield.core.Transport;
 import slipfield.directory.Discovery;
+import slipfield.directory.merged.Members;
 import slipfield.front.http.Intake;
 import slipfield.journal.Claim;
 import slipfield.journal.LifeClock;
@@ -38,6 +39,8 @@
     static final long TAKING_MS = 450;
     /** From SIGTERM: calls out may last till here; SIGKILL may come at 3.7 s. */
     static final long CLOSING_MS = 3300;
+    /** From SIGTERM: so long its own registration elsewhere may take to be taken back. */
+    private static final long LEAVING_MS = 200;
 
     private final Config config;
     private final Sender sender;
@@ -48,6 +51,8 @@
     private Notices notices;
     private Discovery discovery;
     private Intake intake;
+    /** Absent unless the operator has named a file of sources: no class of them is loaded without. */
+    private Members members;
 
     /** As the program runs it. */
     public Daemon(Config config) {
@@ -83,18 +88,34 @@
     }
 
     /** Starts it; returns the address that its clients connect to. */
-    public InetSocketAddress start() throws IOException {
-        return sender.start().get(0);
+    public InetSocketAddress start() throws IOException, BadInput {
+        if (config.members().isPresent()) {
+            members = Members.read(config.members().get(), config.state());
+        }
+        InetSocketAddress address = sender.start().get(0);
+        if (members != null) {
+            members.listening(address);
+        }
+        return address;
     }
 
     /** Ends in order, within the time before SIGKILL. */
     public void drain() {
+        if (members != null) {
+            members.leaving(LEAVING_MS);
+        }
         sender.drain();
+        if (members != null) {
+            members.close();
+        }
     }
 
     /** Lets go of everything at once, as the end of the process would. */
     public void kill() {
         sender.kill();
+        if (members != null) {
+            members.close();
+        }
     }
 
     EventLoop loop() {
@@ -143,7 +164,11 @@
     @Override
     public Map<String, Directory> directories(EventLoop loop) {
         discovery = new Discovery(loop, new Agent(loop, agentAddress), config.known());
-        return Map.of("platform", discovery);
+        if (members == null) {
+            return Map.of("platform", discovery);
+        }
+        members.over(loop, discovery);
+        return Map.of("members", members);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/slipfield/directory/consul/Access.java
@@ -0,0 +1,95 @@
+package slipfield.directory.consul;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import slipfield.agent.Agent;
+import slipfield.config.BadInput;
+import slipfield.config.Config;
+import slipfield.log.Log;
+
+/** How Consul's agents are reached: which, with what token, over what. On the event loop of the consul package. */
+final class Access {
+    private static final String TOKEN = "X-Consul-Token";
+
+    private final ConsulSettings settings;
+    private final Optional<SslContext> tls;
+    private Optional<String> token = Optional.empty();
+    private boolean tokenRead;
+
+    Access(ConsulSettings settings) throws BadInput {
+        this.settings = settings;
+        this.tls = settings.tls().isPresent() ? Optional.of(context(settings.tls().get())) : Optional.empty();
+    }
+
+    private static SslContext context(ConsulSettings.Tls tls) throws BadInput {
+        try {
+            SslContextBuilder builder = SslContextBuilder.forClient().trustManager(tls.authority().toFile());
+            if (tls.certificate().isPresent()) {
+                builder.keyManager(tls.certificate().get().toFile(), tls.key().orElseThrow().toFile());
+            }
+            return builder.build();
+        } catch (IOException | IllegalArgumentException e) {
+            throw new BadInput("consul.tls: " + e.getMessage());
+        }
+    }
+
+    ConsulSettings settings() {
+        return settings;
+    }
+
+    /** The agent that is asked at the n-th turn. */
+    Agent agent(EventLoop loop, int turn) {
+        InetSocketAddress address = address(turn);
+        Consumer<Channel> secured = channel -> tls.ifPresent(context -> channel.pipeline()
+                .addLast(context.newHandler(channel.alloc(), address.getHostString(), address.getPort())));
+        return new Agent(loop, address, secured);
+    }
+
+    private InetSocketAddress address(int turn) {
+        List<InetSocketAddress> agents = settings.agents();
+        return agents.get(Math.floorMod(turn, agents.size()));
+    }
+
+    String name(int turn) {
+        return Config.hostPort(address(turn));
+    }
+
+    /** Adds what says where a question is meant. */
+    void scope(QueryStringEncoder query) {
+        if (!settings.datacenter().isEmpty()) {
+            query.addParam("dc", settings.datacenter());
+        }
+        if (!settings.namespace().isEmpty()) {
+            query.addParam("ns", settings.namespace());
+        }
+    }
+
+    void authorize(FullHttpRequest request) {
+        if (!tokenRead) {
+            tokenRead = true;
+            settings.tokenFile().ifPresent(file -> {
+                try {
+                    token = Optional.of(Files.readString(file).trim()).filter(t -> !t.isEmpty());
+                } catch (IOException e) {
+                    Log.line("consul's token can't be read, the one before is used: " + e);
+                }
+            });
+        }
+        token.ifPresent(t -> request.headers().set(TOKEN, t));
+    }
+
+    /** A token was refused: the file is read again, as it may have been replaced. */
+    void refused() {
+        tokenRead = false;
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/directory/consul/Registration.java
@@ -0,0 +1,141 @@
+package slipfield.directory.consul;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import slipfield.agent.Agent;
+import slipfield.log.Log;
+
+/**
+ * The sender as a service of its own at one agent, with a TTL check that it keeps passing; Consul's pages "Agent service"
+ * and "Agent check". An agent that has forgotten it is told anew; where one can't be asked, the next one is registered with.
+ */
+final class Registration {
+    private static final long ANSWER_MS = 500;
+    /** A sender that went without a word is taken off after so many of its TTLs, and a minute at least, as Consul rules. */
+    private static final int TTLS_TILL_GONE = 6;
+
+    private final EventLoop loop;
+    private final Access access;
+    private final ConsulSettings.Register as;
+    private final InetSocketAddress address;
+    private final String id;
+    private final JsonMapper json = JsonMapper.builder().build();
+    private Agent agent;
+    private int turn;
+    private boolean registered;
+    private boolean ended;
+    private boolean troubled;
+    private Optional<Future<?>> next = Optional.empty();
+
+    Registration(EventLoop loop, Access access, ConsulSettings.Register as, InetSocketAddress address) {
+        this.loop = loop;
+        this.access = access;
+        this.as = as;
+        this.address = address;
+        this.id = as.id().isEmpty() ? as.name() + "-" + address.getHostString() + "-" + address.getPort() : as.id();
+    }
+
+    void start() {
+        agent = access.agent(loop, turn);
+        beat();
+    }
+
+    private void beat() {
+        if (ended) {
+            return;
+        }
+        if (registered) {
+            put("/v1/agent/check/update/" + check(), json.createObjectNode().put("Status", "passing"));
+        } else {
+            put("/v1/agent/service/register", service());
+        }
+    }
+
+    private String check() {
+        return "service:" + id;
+    }
+
+    private ObjectNode service() {
+        ObjectNode service = json.createObjectNode().put("ID", id).put("Name", as.name())
+                .put("Address", address.getHostString()).put("Port", address.getPort());
+        ArrayNode tags = service.putArray("Tags");
+        as.tags().forEach(tags::add);
+        service.putObject("Check").put("CheckID", check()).put("TTL", as.ttlMs() + "ms").put("Status", "passing")
+                .put("DeregisterCriticalServiceAfter", Math.max(60_000, TTLS_TILL_GONE * as.ttlMs()) + "ms");
+        return service;
+    }
+
+    private void put(String path, ObjectNode body) {
+        agent.ask(request(path, body), ANSWER_MS, this::answered);
+    }
+
+    private FullHttpRequest request(String path, ObjectNode body) {
+        QueryStringEncoder query = new QueryStringEncoder(path);
+        access.scope(query);
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT, query.toString(),
+                Unpooled.copiedBuffer(body.toString(), StandardCharsets.UTF_8));
+        request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        access.authorize(request);
+        return request;
+    }
+
+    private void answered(Optional<FullHttpResponse> answer) {
+        if (ended) {
+            return;
+        }
+        int code = answer.map(a -> a.status().code()).orElse(0);
+        boolean good = code == 200;
+        if (troubled == good) {
+            troubled = !good;
+            Log.line(good ? "consul has this sender registered as " + id
+                    : "consul's agent " + access.name(turn) + " does not keep this sender's registration: "
+                            + (code == 0 ? "no answer" : "answered " + code));
+        }
+        boolean again = !good && registered && code != 0;
+        registered = good;
+        if (again) {
+            // It answers and has forgotten us: registered anew at once.
+            beat();
+            return;
+        }
+        if (!good) {
+            if (code == 403) {
+                access.refused();
+            }
+            agent.close();
+            agent = access.agent(loop, ++turn);
+        }
+        next = Optional.of(loop.schedule(this::beat, good ? as.ttlMs() / 3 : Math.min(1000, as.ttlMs() / 3),
+                TimeUnit.MILLISECONDS));
+    }
+
+    /** Takes it back; {@code then} runs once that is answered, or will not be. */
+    void end(Runnable then) {
+        ended = true;
+        next.ifPresent(n -> n.cancel(false));
+        agent.close();
+        if (!registered) {
+            then.run();
+            return;
+        }
+        agent.ask(request("/v1/agent/service/deregister/" + id, json.createObjectNode()), ANSWER_MS, answer -> {
+            agent.close();
+            then.run();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/directory/merged/ViewFile.java
@@ -0,0 +1,123 @@
+package slipfield.directory.merged;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import slipfield.log.Log;
+import slipfield.membership.Instance;
+import slipfield.membership.Member;
+import slipfield.membership.Membership;
+import slipfield.membership.Status;
+
+/**
+ * The view on disk: what each source said last, for the next life, and the merged view, for whoever asks. Written whole
+ * beside the old one and moved over it, on a thread of its own, since a disk may be slow. One that can't be read counts
+ * as none.
+ */
+final class ViewFile implements AutoCloseable {
+    /** Its name in the state folder. */
+    static final String NAME = "members.json";
+    private static final int VERSION = 1;
+
+    private final Path path;
+    private final JsonMapper json = JsonMapper.builder().build();
+    private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "members-file");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private boolean failed;
+
+    /** What a source had said, and when by the wall clock. */
+    record Recalled(long heardMs, List<Instance> instances) {
+    }
+
+    ViewFile(Path folder) {
+        this.path = folder.resolve(NAME);
+    }
+
+    /** What was kept of this source; nothing where none was, or the file is damaged. */
+    Recalled recall(String source) {
+        List<Instance> instances = new ArrayList<>();
+        try {
+            if (!Files.exists(path)) {
+                return new Recalled(0, List.of());
+            }
+            JsonNode kept = json.readTree(Files.readAllBytes(path));
+            JsonNode of = kept.path("sources").path(source);
+            for (JsonNode i : of.path("instances")) {
+                instances.add(new Instance(i.path("id").asText(), i.path("address").asText(),
+                        i.path("destination").asLong(), i.path("kind").asText(), i.path("zone").asText(),
+                        i.path("weight").asDouble(), Status.valueOf(i.path("status").asText())));
+            }
+            return new Recalled(of.path("heard_ms").asLong(), instances);
+        } catch (IOException | IllegalArgumentException e) {
+            Log.line("the view of an earlier life can't be read and is passed over: " + e.getMessage());
+            return new Recalled(0, List.of());
+        }
+    }
+
+    /** Writes the view as it is now; what it looks like is settled here, the rest is the writer's. */
+    void write(Membership membership, long nowMs, long wallMs) {
+        ObjectNode view = json.createObjectNode().put("version", VERSION).put("written_ms", wallMs);
+        ObjectNode sources = view.putObject("sources");
+        for (Map.Entry<String, Membership.SourceState> source : membership.sources(nowMs).entrySet()) {
+            Membership.SourceState state = source.getValue();
+            ObjectNode of = sources.putObject(source.getKey()).put("heard", state.heard())
+                    .put("heard_ms", state.heard() ? wallMs - state.ageMs() : 0)
+                    .put("trouble", state.trouble().orElse(""));
+            ArrayNode instances = of.putArray("instances");
+            membership.told(source.getKey()).forEach(i -> instances.addObject().put("id", i.id())
+                    .put("address", i.address()).put("destination", i.destination()).put("kind", i.kind())
+                    .put("zone", i.zone()).put("weight", i.weight()).put("status", i.status().name()));
+        }
+        ObjectNode held = view.putObject("held");
+        membership.held().forEach((pool, since) -> held.put(pool.toString(), wallMs - (nowMs - since)));
+        ArrayNode members = view.putArray("members");
+        for (Member m : membership.members()) {
+            ObjectNode member = members.addObject().put("id", m.id()).put("address", m.endpoint().address())
+                    .put("destination", m.endpoint().destination()).put("used", m.used()).put("why", m.why().name())
+                    .put("since_ms", wallMs - (nowMs - m.sinceMs()))
+                    .put("again_ms", m.againMs() == 0 ? 0 : wallMs + m.againMs() - nowMs);
+            ObjectNode says = member.putObject("says");
+            m.says().forEach((source, status) -> says.put(source, status.name()));
+        }
+        writer.execute(() -> put(view));
+    }
+
+    private void put(ObjectNode view) {
+        Path fresh = path.resolveSibling(NAME + ".new");
+        try {
+            Files.write(fresh, json.writeValueAsBytes(view));
+            Files.move(fresh, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            failed = false;
+        } catch (IOException e) {
+            if (!failed) {
+                failed = true;
+                Log.line("the view of endpoints can't be kept on disk: " + e);
+            }
+        }
+    }
+
+    /** What was to be written is, if the disk lets it. */
+    @Override
+    public void close() {
+        writer.shutdown();
+        try {
+            writer.awaitTermination(1, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/slipfield/standin/HttpServer.java
+++ b/src/main/java/slipfield/standin/HttpServer.java
@@ -35,6 +35,11 @@
 
     /** Listens on this port of the loopback, or on a free one where it is 0. */
     HttpServer(EventLoopGroup group, int port, Handler handler) {
+        this(group, new InetSocketAddress(InetAddress.getLoopbackAddress(), port), handler);
+    }
+
+    /** Listens at this address. */
+    HttpServer(EventLoopGroup group, InetSocketAddress address, Handler handler) {
         listener = new ServerBootstrap().group(group).channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -55,7 +60,7 @@
                                 });
                     }
                 })
-                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).syncUninterruptibly().channel();
+                .bind(address).syncUninterruptibly().channel();
     }
 
     InetSocketAddress address() {
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -41,6 +41,10 @@
         Files.createDirectories(folder.resolve("state"));
         builder.environment().putAll(Map.of("GW_CONFIG", folder.resolve("config.json").toString(), "GW_STATE",
                 folder.resolve("state").toString()));
+        Path members = folder.resolve(TrialWorld.MEMBERS);
+        if (Files.exists(members)) {
+            builder.environment().put("SLIPFIELD_MEMBERS", members.toString());
+        }
         process = builder.start();
         for (long waited = 0; !Files.readString(log).contains(LISTENS); waited += LOOK_MS) {
             if (!process.isAlive() || waited > START_MS) {
@@ -64,6 +68,16 @@
         return process.info().totalCpuDuration().map(used -> used.toNanos() / 1000);
     }
 
+    /** Resident memory of the process of this life in kB, if the system tells. */
+    public Optional<Long> residentKb() throws IOException {
+        Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+        if (!Files.exists(status)) {
+            return Optional.empty();
+        }
+        return Files.readAllLines(status).stream().filter(line -> line.startsWith("VmRSS:"))
+                .map(line -> Long.parseLong(line.replaceAll("\\D", ""))).findFirst();
+    }
+
     @Override
     public void close() {
         if (process == null) {
--- a/src/main/java/slipfield/standin/TrialWorld.java
+++ b/src/main/java/slipfield/standin/TrialWorld.java
@@ -14,7 +14,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /** All that a sender meets, on free ports of the loopback: venues, an agent, desks; and its configuration. */
 public final class TrialWorld implements AutoCloseable {
@@ -25,6 +28,11 @@
     public static final long WINDOW_MS = 10_000;
     private static final long AIM_MS = 2000;
     private static final int SERVERS = 3;
+    private static final int AGENTS = 2;
+    /** The venues' name in Consul. */
+    private static final String SERVICE = "venue";
+    /** The operator's file of sources, in the folder. */
+    static final String MEMBERS = "members.conf";
 
     /**
      * What a run is of.
@@ -47,6 +55,8 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(SERVERS, NioIoHandler.newFactory());
     private final EventLoopGroup handingIn = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Ledger ledger = new Ledger(WINDOW_MS);
+    private final ConsulCluster consul = new ConsulCluster();
+    private final List<ConsulAgent> agents = new ArrayList<>();
     private final List<Venue> venues = new ArrayList<>();
     private final Platform platform;
     private final Desks desks;
@@ -54,6 +64,16 @@
 
     /** Builds it, and writes the sender's {@code config.json} into this folder. */
     public TrialWorld(Path folder, Size size) throws IOException {
+        this(folder, size, Optional.empty());
+    }
+
+    /**
+     * The same with Consul: two agents, at which the venues are registered under their ids; the sender's {@code
+     * members.conf} is in the folder too.
+     *
+     * @param membership the file's {@code precedence}, {@code rules} and so on, without braces; empty: no Consul
+     */
+    public TrialWorld(Path folder, Size size, Optional<String> membership) throws IOException {
         for (int i = 0; i < size.venues; i++) {
             venues.add(new Venue(group, "venue-" + i, ledger, size.venuePerSecond, size.serviceMicros));
         }
@@ -62,6 +82,22 @@
         desks = new Desks(handingIn.next(), sender, ledger, size.giveUpMs);
         Files.createDirectories(folder);
         Files.writeString(folder.resolve("config.json"), config(size));
+        if (membership.isPresent()) {
+            venues.forEach(this::register);
+            for (int i = 0; i < AGENTS; i++) {
+                agents.add(new ConsulAgent(group, consul));
+            }
+            String at = agents.stream().map(a -> "\"127.0.0.1:" + a.address().getPort() + "\"")
+                    .collect(Collectors.joining(","));
+            Files.writeString(folder.resolve(MEMBERS), "{" + membership.get() + ",\"consul\":{\"agents\":[" + at
+                    + "],\"services\":[{\"name\":\"" + SERVICE + "\",\"kind\":\"m\",\"zone\":\"a\"}],"
+                    + "\"register\":{\"name\":\"slipfield\",\"ttl_ms\":3000}}}\n");
+        }
+    }
+
+    private void register(Venue venue) {
+        consul.register(SERVICE, venue.id(), "127.0.0.1", venue.address().getPort(), List.of("orders"),
+                Map.of("destination", Long.toString(Platform.DESTINATION)));
     }
 
     private String config(Size size) {
@@ -111,6 +147,16 @@
         return venues;
     }
 
+    /** What Consul knows. */
+    public ConsulCluster consul() {
+        return consul;
+    }
+
+    /** Consul's agents, if the world has any. */
+    public List<ConsulAgent> agents() {
+        return agents;
+    }
+
     /** The desks. */
     public Desks desks() {
         return desks;
@@ -127,6 +173,7 @@
     @Override
     public void close() {
         desks.close();
+        agents.forEach(ConsulAgent::close);
         venues.forEach(Venue::close);
         platform.close();
         handingIn.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/src/main/java/slipfield/standin/Venue.java
+++ b/src/main/java/slipfield/standin/Venue.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** A stand-in venue: runs the orders that reach it, tells the ledger of each, and misbehaves when it is told to. */
 public final class Venue implements AutoCloseable {
@@ -35,6 +36,8 @@
     private final long serviceMicros;
     private final HttpServer server;
     private volatile Mood mood = Mood.UP;
+    private final AtomicLong asked = new AtomicLong();
+    private volatile long askedNanos;
     private double tokens;
     private long filledNanos = System.nanoTime();
 
@@ -73,7 +76,19 @@
         mood = next;
     }
 
+    /** Orders that have come so far, whatever it did with them. */
+    public long asked() {
+        return asked.get();
+    }
+
+    /** When the last one came, by {@link System#nanoTime}. */
+    public long askedNanos() {
+        return askedNanos;
+    }
+
     private void asked(Channel channel, FullHttpRequest request) {
+        askedNanos = System.nanoTime();
+        asked.incrementAndGet();
         String order = request.headers().get("X-Call-Id", "");
         switch (mood) {
             case SILENT -> { }
--- a/src/test/java/slipfield/cli/CliTest.java
+++ b/src/test/java/slipfield/cli/CliTest.java
@@ -86,6 +86,56 @@
                 + result.path("failed").asInt());
     }
 
+    @Test
+    void aStandInConsulPlaysItsScriptAndASpoiltOneIsNamedByItsLine() throws Exception {
+        Path script = folder.resolve("script");
+        Files.writeString(script, """
+                # a venue that comes, falters and goes
+                0 register venue v1 127.0.0.1:9000 orders destination=7
+                5 check v1 critical
+                10 maintenance node on
+                15 fault lags
+                20 restore 3
+                25 deregister v1
+                """);
+        assertEquals(0, run("stand-in", "consul", "--listen", "127.0.0.1:0", "--script", script.toString(), "--once"));
+        assertTrue(out.toString().contains("a stand-in Consul listens at 127.0.0.1:"), out.toString());
+        for (String[] spoilt : new String[][] {{"0 chekc v1 passing", "'chekc' is none of register"},
+            {"x clear", "a number is wanted"}, {"5 clear\n\n4 clear", "line 3: its time is before"},
+            {"0 fault slow", "fault is one of [none, hang"}, {"0 register venue v1 here", "HOST:PORT"},
+            {"0 check v1 good", "check ID passing|warning|critical"}, {"0 token", "token TOKEN"}}) {
+            Files.writeString(script, spoilt[0].replace("\\n", "\n"));
+            err.getBuffer().setLength(0);
+            assertEquals(2, run("stand-in", "consul", "--listen", "127.0.0.1:0", "--script", script.toString(), "--once"));
+            assertTrue(err.toString().contains("line ") && err.toString().contains(spoilt[1]), err.toString());
+        }
+        assertEquals(2, run("stand-in", "consul", "--listen", "here"));
+        assertTrue(err.toString().contains("--listen: not an address"), err.toString());
+    }
+
+    @Test
+    void theViewOfEndpointsIsShownWithWhatEachSourceSays() throws Exception {
+        assertEquals(2, run("members", folder.toString()));
+        assertTrue(err.toString().contains("SLIPFIELD_MEMBERS"), err.toString());
+        Files.writeString(folder.resolve("members.json"), """
+                {"version":1,"written_ms":1,"sources":{"platform":{"heard":true,"heard_ms":1,"trouble":"","instances":[]},
+                 "consul":{"heard":false,"heard_ms":0,"trouble":"127.0.0.1:8500 answered 500","instances":[]}},"held":{},
+                 "members":[{"id":"s-0","address":"127.0.0.1:9000","destination":7,"used":true,"why":"STEADY","since_ms":1,
+                 "again_ms":0,"says":{"platform":"PASSING"}},{"id":"s-1","address":"127.0.0.1:9001","destination":7,
+                 "used":false,"why":"CRITICAL","since_ms":1,"again_ms":0,"says":{"platform":"PASSING",
+                 "consul":"CRITICAL"}}]}""");
+        assertEquals(0, run("members", folder.toString()));
+        String told = out.toString();
+        assertTrue(told.contains("never heard; can't be read: 127.0.0.1:8500 answered 500"), told);
+        assertTrue(told.contains("platform=passing consul=critical"), told);
+        Files.writeString(folder.resolve("members.json"), Files.readString(folder.resolve("members.json"))
+                .replace("\"held\":{}", "\"held\":{\"7\":5}"));
+        assertEquals(1, run("members", folder.toString()));
+        assertTrue(out.toString().contains("destination 7 is held to its last good view"), out.toString());
+        Files.writeString(folder.resolve("members.json"), "{\"memb");
+        assertEquals(2, run("members", folder.toString()));
+    }
+
     /** Another takes the port that the sender was to have: its log is told, and nothing hangs. */
     @Test
     void aPortThatIsTakenIsSaid() throws Exception {
@@ -93,6 +143,7 @@
                 SenderProcess sender = new SenderProcess(folder, List.of(), List.of())) {
             JsonNode config = JsonMapper.builder().build().readTree(Files.readString(folder.resolve("config.json")));
             int port = Integer.parseInt(config.path("listen").asText().split(":")[1]);
+            assertEquals(world.sender().getPort(), port);
             try (ServerSocket other = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 String told = assertThrows(IOException.class, sender::start)
                         .getMessage();
--- /dev/null
+++ b/src/test/java/slipfield/daemon/MembersTest.java
@@ -0,0 +1,269 @@
+package slipfield.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import slipfield.config.BadInput;
+import slipfield.config.Config;
+import slipfield.standin.ConsulAgent;
+import slipfield.standin.Ledger;
+import slipfield.standin.SenderProcess;
+import slipfield.standin.Stub;
+import slipfield.standin.TrialWorld;
+import slipfield.standin.Venue;
+
+/** A whole sender whose endpoints come from Consul, on stand-ins. */
+class MembersTest {
+    private static final String RULES = ",\"rules\":{\"steady_ms\":1,\"most_steady_ms\":1,\"window_ms\":0}";
+    private static final String CONSUL_ONLY = "\"precedence\":[\"consul\"]" + RULES;
+    private static final String BOTH = "\"precedence\":[\"platform\",\"consul\"]" + RULES;
+
+    @TempDir
+    Path folder;
+    private TrialWorld world;
+    private Daemon sender;
+
+    @AfterEach
+    void close() {
+        if (sender != null) {
+            sender.kill();
+        }
+        if (world != null) {
+            world.close();
+        }
+    }
+
+    private void start(String membership) throws Exception {
+        world = new TrialWorld(folder, new TrialWorld.Size(4, 1e6, 1000, 8000, 500, 64), Optional.of(membership));
+        Files.createDirectories(folder.resolve("state"));
+        life();
+    }
+
+    private void life() throws Exception {
+        sender = new Daemon(Config.read(environment()));
+        sender.start();
+    }
+
+    private Map<String, String> environment() {
+        Map<String, String> environment = new HashMap<>();
+        environment.put("GW_CONFIG", folder.resolve("config.json").toString());
+        environment.put("GW_STATE", folder.resolve("state").toString());
+        environment.put("SLIPFIELD_MEMBERS", folder.resolve("members.conf").toString());
+        return environment;
+    }
+
+    private void orders() throws Exception {
+        world.desks().atRate(200);
+        flows();
+    }
+
+    private long asked() {
+        return world.venues().stream().mapToLong(Venue::asked).sum();
+    }
+
+    /** Orders go on reaching venues. */
+    private void flows() throws Exception {
+        long before = asked();
+        Stub.await("orders flow", () -> asked() > before + 40);
+    }
+
+    /** The venue that the module likes best now. */
+    private Venue busiest() throws Exception {
+        Map<Venue, Long> before = new HashMap<>();
+        world.venues().forEach(v -> before.put(v, v.asked()));
+        flows();
+        return world.venues().stream().max(Comparator.comparingLong(v -> v.asked() - before.get(v))).orElseThrow();
+    }
+
+    /** It gets no new one, while the others get many. */
+    private void left(Venue out) throws Exception {
+        Stub.await(out.id() + " is left", () -> {
+            long before = out.asked();
+            long all = asked();
+            while (asked() < all + 30) {
+                Thread.onSpinWait();
+            }
+            return out.asked() == before;
+        });
+    }
+
+    /** What the kept view says of this venue, once it says so. */
+    private void awaitWhy(Venue venue, String why) throws Exception {
+        String address = "127.0.0.1:" + venue.address().getPort();
+        Stub.await(venue.id() + " is " + why, () -> {
+            for (JsonNode m : view().path("members")) {
+                if (m.path("address").asText().equals(address)) {
+                    return m.path("why").asText().equals(why);
+                }
+            }
+            return why.equals("GONE");
+        });
+    }
+
+    private JsonNode view() {
+        try {
+            return JsonMapper.builder().build().readTree(folder.resolve("state").resolve("members.json").toFile());
+        } catch (IOException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    private void everyOrderEnds() throws Exception {
+        world.desks().stop();
+        world.awaitEnds(20_000);
+        Ledger.Account account = world.ledger().account();
+        assertTrue(account.holds(), account.toString());
+        assertTrue(account.delivered() > 0);
+    }
+
+    @Test
+    void criticalAndMaintenanceAreLeftAndComeBack() throws Exception {
+        start(BOTH);
+        orders();
+        Venue first = busiest();
+        world.consul().check("service:" + first.id(), "critical");
+        left(first);
+        awaitWhy(first, "CRITICAL");
+        world.consul().check("service:" + first.id(), "warning");
+        awaitWhy(first, "STEADY");
+        Venue next = busiest();
+        world.consul().maintenance(next.id(), true, "patch");
+        left(next);
+        awaitWhy(next, "DRAINING");
+        world.consul().maintenance(next.id(), false, "");
+        awaitWhy(next, "STEADY");
+        everyOrderEnds();
+    }
+
+    @Test
+    void whatIsInConsulAloneIsUsedAndLeftWhenItIsTakenOff() throws Exception {
+        start(CONSUL_ONLY);
+        orders();
+        Venue out = busiest();
+        world.consul().deregister(out.id());
+        left(out);
+        awaitWhy(out, "GONE");
+        everyOrderEnds();
+    }
+
+    @Test
+    void withEveryAgentDeadFromTheStartTheLastKnownViewServes() throws Exception {
+        start(CONSUL_ONLY);
+        orders();
+        awaitWhy(world.venues().get(3), "STEADY");
+        sender.kill();
+        world.agents().forEach(ConsulAgent::close);
+        life();
+        flows();
+        Stub.await("its trouble is told", () -> view().path("sources").path("consul").path("trouble").asText()
+                .contains("no whole answer"));
+        assertEquals(4, view().path("members").size());
+        everyOrderEnds();
+    }
+
+    @Test
+    void agentsThatAllAnswerWithNothingEmptyNoPool() throws Exception {
+        start(CONSUL_ONLY);
+        orders();
+        world.agents().forEach(a -> a.fault(ConsulAgent.Fault.EMPTY));
+        world.consul().check("service:venue-3", "warning");
+        awaitWhy(world.venues().get(0), "HELD");
+        flows();
+        assertEquals(1, view().path("held").size());
+        world.agents().forEach(a -> a.fault(ConsulAgent.Fault.NONE));
+        world.consul().check("service:venue-3", "passing");
+        awaitWhy(world.venues().get(0), "STEADY");
+        everyOrderEnds();
+    }
+
+    @Test
+    void theSameIdAtAnotherAddressWithCallsOutLosesAndDoublesNothing() throws Exception {
+        start(CONSUL_ONLY);
+        Venue target = world.venues().get(1);
+        world.consul().deregister(target.id());
+        orders();
+        Venue moving = busiest();
+        moving.mood(Venue.Mood.LATE);
+        long before = moving.asked();
+        Stub.await("calls are out", () -> moving.asked() > before + 3);
+        world.consul().deregister(moving.id());
+        world.consul().register("venue", moving.id(), "127.0.0.1", target.address().getPort(), List.of(),
+                Map.of("destination", "1"));
+        left(moving);
+        awaitWhy(target, "STEADY");
+        moving.mood(Venue.Mood.UP);
+        everyOrderEnds();
+    }
+
+    @Test
+    void theSenderItselfIsFoundInConsulUntilItEnds() throws Exception {
+        start(BOTH);
+        Stub.await("it is registered", () -> world.consul().status("slipfield").equals("passing"));
+        sender.drain();
+        assertEquals("", world.consul().status("slipfield"));
+    }
+
+    @Test
+    void aViewThatIsDamagedIsPassedOver() throws Exception {
+        start(CONSUL_ONLY);
+        orders();
+        sender.kill();
+        Files.writeString(folder.resolve("state").resolve("members.json"), "{\"sources\":{\"consul\":{\"inst");
+        life();
+        flows();
+        everyOrderEnds();
+    }
+
+    @Test
+    void aFileThatIsWrongIsNamedWithTheMend() throws Exception {
+        start(BOTH);
+        sender.kill();
+        sender = null;
+        wrong("{\"precedence\":[\"consol\"]}", "precedence is to name sources once each");
+        wrong("{\"precedence\":[\"consul\"]}", "consul is to be in precedence and have its part, or neither");
+        wrong("{\"precedence\":[\"platform\"],\"rules\":{\"steady\":5}}", "rules knows no field 'steady'");
+        wrong("{\"precedence\":[\"platform\"],\"rules\":{\"most_shrink\":2}}", "most_shrink is a share, 0 to 1");
+        wrong("{\"precedence\":[\"file\"],\"endpoints\":[{\"id\":\"a\"}]}", "each has an id, an address");
+        wrong("{\"precedence\":[\"platform\"],\n\"rules\" 5}", "line 2");
+    }
+
+    private void wrong(String text, String named) throws Exception {
+        Files.writeString(folder.resolve("members.conf"), text);
+        String message = assertThrows(BadInput.class, () -> new Daemon(Config.read(environment())).start())
+                .getMessage();
+        assertTrue(message.contains("members.conf") && message.contains(named), message);
+    }
+
+    @Test
+    void withoutTheFileNoClassOfItIsLoaded() throws Exception {
+        world = new TrialWorld(folder, new TrialWorld.Size(1, 1e6, 0, 8000, 500, 64));
+        Path log = folder.resolve("classes.log");
+        try (SenderProcess process = new SenderProcess(folder, List.of(),
+                List.of("-Xmx48m", "-Xlog:class+load:file=" + log))) {
+            process.start();
+            world.desks().atRate(100);
+            flows();
+        }
+        String loaded = Files.readString(log);
+        assertTrue(loaded.contains("slipfield.directory.Discovery "));
+        for (String part : List.of("slipfield.membership.", "slipfield.directory.consul.", "slipfield.directory.merged.")) {
+            assertFalse(loaded.contains(part), part);
+        }
+    }
+}
