Lists are read when Consul's index has moved; a lower index is believed after more looks

Need: a blocking query's answer is the whole list at the end of each wait, megabytes a second for 2,000 endpoints that did not change. An agent that lags unawares was believed when another failed once between two looks at it; a test showed it.

Change: what waits is a query with a filter that nothing passes, and the list is asked for when the index has moved. A lower index is believed when told once more than there are agents.

--- a/src/main/java/slipfield/directory/consul/BlockingIndex.java
+++ b/src/main/java/slipfield/directory/consul/BlockingIndex.java
@@ -23,10 +23,14 @@
     private long index;
     /** The index of the last list that was taken: an answer without index is of this one's time or later. */
     private long taken;
-    private boolean wentBack;
+    private final int looks;
+    /** Answers in a row whose index was lower. */
+    private int wentBack;
 
-    BlockingIndex(long mostStaleMs) {
+    /** {@code looks}: an index that went back is believed when it was told so often in a row. */
+    BlockingIndex(long mostStaleMs, int looks) {
         this.mostStaleMs = mostStaleMs;
+        this.looks = looks;
     }
 
     /** What to ask with; 0: do not block. */
@@ -36,7 +40,7 @@
 
     /** An answer with these headers, absent where {@code null}. */
     Verdict answered(String consulIndex, String knownLeader, String lastContact) {
-        if ("false".equalsIgnoreCase(knownLeader) || number(lastContact).orElse(0L) > mostStaleMs) {
+        if (stale(knownLeader, lastContact)) {
             return Verdict.STALE;
         }
         long told = number(consulIndex).orElse(0L);
@@ -45,19 +49,30 @@
             index = 0;
             return Verdict.TAKE;
         }
-        if (told < taken && !wentBack) {
-            // A restore, or a server that lags unawares: the next answer decides.
+        if (told < taken && ++wentBack < looks) {
+            // A restore, or a server that lags unawares: others are asked before it is believed.
             index = 0;
-            wentBack = true;
             return Verdict.RESET;
         }
-        boolean same = told == taken && index == told && !wentBack;
-        wentBack = false;
+        boolean same = told == taken && index == told && wentBack == 0;
+        wentBack = 0;
         index = told;
         taken = told;
         return same ? Verdict.SAME : Verdict.TAKE;
     }
 
+    /** An answer that had the index only: {@code TAKE} where the whole list is to be looked at. */
+    Verdict probed(String consulIndex, String knownLeader, String lastContact) {
+        if (stale(knownLeader, lastContact)) {
+            return Verdict.STALE;
+        }
+        return number(consulIndex).orElse(0L) == index ? Verdict.SAME : Verdict.TAKE;
+    }
+
+    private boolean stale(String knownLeader, String lastContact) {
+        return "false".equalsIgnoreCase(knownLeader) || number(lastContact).orElse(0L) > mostStaleMs;
+    }
+
     /** Another agent is asked: its list is looked at whole. */
     void moved() {
         index = 0;
--- a/src/main/java/slipfield/directory/consul/ConsulDirectory.java
+++ b/src/main/java/slipfield/directory/consul/ConsulDirectory.java
@@ -40,6 +40,8 @@
         void failed(String why);
     }
 
+    /** A filter that no instance passes. */
+    private static final String NOTHING = "Service.ID == \"\"";
     private static final ConsulSettings.Mapping UNMAPPED = new ConsulSettings.Mapping(Optional.empty(), "", "");
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -70,7 +72,7 @@
             }
             settings.services().keySet().forEach(this::watch);
             if (!settings.tag().isEmpty()) {
-                new Watch(loop, access, "/v1/catalog/services", '{', new Catalogue()).start();
+                new Watch(loop, access, "/v1/catalog/services", '{', "", new Catalogue()).start();
             }
         });
     }
@@ -79,7 +81,8 @@
         if (watches.containsKey(service)) {
             return;
         }
-        Watch watch = new Watch(loop, access, "/v1/health/service/" + encoded(service), '[', new Health(service));
+        Watch watch = new Watch(loop, access, "/v1/health/service/" + encoded(service), '[', NOTHING,
+                new Health(service));
         watches.put(service, watch);
         watch.start();
     }
--- a/src/main/java/slipfield/directory/consul/Watch.java
+++ b/src/main/java/slipfield/directory/consul/Watch.java
@@ -28,6 +28,8 @@
 final class Watch {
     /** An answer that is so much later than its wait will not come. */
     private static final long ANSWER_MS = 400;
+    /** A whole list may be megabytes, read on a core that has other work. */
+    private static final long WHOLE_MS = 1000;
     /** Consul adds up to a sixteenth to each wait. */
     private static final int JITTER = 16;
     private static final long LEAST_PAUSE_MS = 50;
@@ -52,21 +54,31 @@
     private final String path;
     /** What an answer begins with. An answer whose index is not new is read no further than that. */
     private final char opening;
+    /**
+     * A filter that nothing passes: a blocking query with it has the index of the whole list and none of its bytes, so
+     * that the list is read when it has changed, and not with each wait that ends. Empty: the list itself is waited for.
+     */
+    private final String nothing;
     private final Listener listener;
     private final ObjectMapper json = JsonMapper.builder().build();
     private final BlockingIndex index;
     private Agent agent;
     private int asked;
     private int failures;
+    /** What is asked now is whether anything has changed. */
+    private boolean probing;
+    /** Something has: the whole list is asked for next. */
+    private boolean look;
     private boolean stopped;
 
-    Watch(EventLoop loop, Access access, String path, char opening, Listener listener) {
+    Watch(EventLoop loop, Access access, String path, char opening, String nothing, Listener listener) {
         this.loop = loop;
         this.access = access;
         this.path = path;
         this.opening = opening;
+        this.nothing = nothing;
         this.listener = listener;
-        this.index = new BlockingIndex(access.settings().mostStaleMs());
+        this.index = new BlockingIndex(access.settings().mostStaleMs(), access.settings().agents().size() + 1);
     }
 
     void start() {
@@ -86,14 +98,17 @@
         ConsulSettings settings = access.settings();
         QueryStringEncoder query = new QueryStringEncoder(path);
         access.scope(query);
-        if (!settings.filter().isEmpty()) {
-            query.addParam("filter", settings.filter());
+        boolean blocks = index.index() > 0 && !look;
+        probing = blocks && !nothing.isEmpty();
+        String filter = probing ? nothing : settings.filter();
+        if (!filter.isEmpty()) {
+            query.addParam("filter", filter);
         }
         if (!settings.mode().equals("default")) {
             query.addParam(settings.mode(), "");
         }
-        long limitMs = ANSWER_MS;
-        if (index.index() > 0) {
+        long limitMs = blocks ? ANSWER_MS : WHOLE_MS;
+        if (blocks) {
             query.addParam("index", Long.toString(index.index()));
             query.addParam("wait", settings.waitMs() + "ms");
             limitMs += settings.waitMs() + settings.waitMs() / JITTER;
@@ -134,8 +149,16 @@
 
     private void take(FullHttpResponse response) {
         long before = index.index();
-        BlockingIndex.Verdict verdict = index.answered(response.headers().get("X-Consul-Index"),
-                response.headers().get("X-Consul-KnownLeader"), response.headers().get("X-Consul-LastContact"));
+        String told = response.headers().get("X-Consul-Index");
+        String leader = response.headers().get("X-Consul-KnownLeader");
+        String contact = response.headers().get("X-Consul-LastContact");
+        BlockingIndex.Verdict verdict = probing ? index.probed(told, leader, contact)
+                : index.answered(told, leader, contact);
+        look = probing && verdict == BlockingIndex.Verdict.TAKE;
+        if (look) {
+            ask();
+            return;
+        }
         switch (verdict) {
             case TAKE -> {
                 try (InputStream in = new ByteBufInputStream(response.content())) {
@@ -174,6 +197,7 @@
     private void move() {
         agent.close();
         index.moved();
+        look = false;
         agent = access.agent(loop, ++asked);
     }
 
--- a/src/main/java/slipfield/standin/ConsulAgent.java
+++ b/src/main/java/slipfield/standin/ConsulAgent.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -76,6 +77,7 @@
     private final Future<?> expiring;
     private final AtomicInteger blocked = new AtomicInteger();
     private final AtomicLong asked = new AtomicLong();
+    private final AtomicLong listed = new AtomicLong();
     private volatile Fault fault = Fault.NONE;
     private volatile ConsulCluster lagging;
     private volatile long laggingSince;
@@ -109,6 +111,11 @@
         return blocked.get();
     }
 
+    /** Answers so far that had something in them. */
+    public long listed() {
+        return listed.get();
+    }
+
     /** Requests so far. */
     public long asked() {
         return asked.get();
@@ -171,7 +178,16 @@
             case "catalog/nodes" -> read(channel, uri, () -> known().nodes());
             case "catalog/service" -> read(channel, uri, () -> known().catalogService(rest, tag));
             case "catalog/datacenters" -> answer(channel, 200, "[\"dc1\"]");
-            case "health/service" -> read(channel, uri, () -> known().health(rest, tag, passing(uri)));
+            case "health/service" -> {
+                String text = first(uri, "filter").orElse("");
+                Optional<Predicate<JsonNode>> filter = text.isEmpty() ? Optional.of(s -> true)
+                        : ConsulCluster.filter(text);
+                if (filter.isEmpty()) {
+                    HttpServer.answer(channel, 400, "Failed to create boolean expression evaluator: " + text);
+                    return;
+                }
+                read(channel, uri, () -> known().health(rest, tag, passing(uri), filter.get()));
+            }
             case "health/state" -> read(channel, uri, () -> known().state(rest));
             case "agent/self" -> answer(channel, 200, cluster.self().toString());
             case "agent/services" -> answer(channel, 200, cluster.agentServices().toString());
@@ -322,6 +338,9 @@
     }
 
     private void answer(Channel channel, ConsulCluster.Answer read) {
+        if (!read.body().isEmpty()) {
+            listed.incrementAndGet();
+        }
         String body = switch (fault) {
             case EMPTY -> read.body().isArray() ? "[]" : "{}";
             case SHAPE -> read.body().isArray() ? "{\"Node\":7}" : "[\"shape\"]";
--- a/src/main/java/slipfield/standin/ConsulCluster.java
+++ b/src/main/java/slipfield/standin/ConsulCluster.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -29,6 +30,9 @@
     private static final String NODE_MAINTENANCE = "_node_maintenance";
     private static final String SERVICE_MAINTENANCE = "_service_maintenance:";
 
+    private static final Pattern EQUAL = Pattern.compile("Service\\.([\\w.-]+)\\s*(==|!=)\\s*\"([^\"]*)\"");
+    private static final Pattern IN = Pattern.compile("\"([^\"]*)\"\\s+in\\s+Service\\.Tags");
+
     private final JsonMapper json = JsonMapper.builder().build();
     private final LongSupplier nowMs;
     /** By id; one node bears them all, unless the catalogue is told otherwise. */
@@ -315,6 +319,36 @@
         return end == text.length() && end > 0 ? Optional.of((long) sum) : Optional.empty();
     }
 
+    /**
+     * A filter on services: {@code Service.FIELD == "value"}, {@code !=}, {@code Service.Meta.KEY == "value"}, {@code "tag" in
+     * Service.Tags}, joined by {@code and}; empty: this stand-in can't read it.
+     */
+    static Optional<Predicate<JsonNode>> filter(String text) {
+        Predicate<JsonNode> all = service -> true;
+        for (String part : text.trim().split("\\s+and\\s+")) {
+            Matcher equal = EQUAL.matcher(part);
+            Matcher in = IN.matcher(part);
+            if (equal.matches()) {
+                String[] path = equal.group(1).split("\\.", 2);
+                String wanted = equal.group(3);
+                boolean same = equal.group(2).equals("==");
+                all = all.and(s -> (path.length == 2 ? s.path(path[0]).path(path[1]) : s.path(path[0])).asText()
+                        .equals(wanted) == same);
+            } else if (in.matches()) {
+                all = all.and(s -> {
+                    boolean there = false;
+                    for (JsonNode tag : s.path("Tags")) {
+                        there |= tag.asText().equals(in.group(1));
+                    }
+                    return there;
+                });
+            } else {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(all);
+    }
+
     /** {@code /v1/catalog/services}. */
     synchronized Answer catalog() {
         ObjectNode body = json.createObjectNode();
@@ -362,9 +396,12 @@
     }
 
     /** {@code /v1/health/service/NAME}. */
-    synchronized Answer health(String name, Optional<String> tag, boolean passing) {
+    synchronized Answer health(String name, Optional<String> tag, boolean passing, Predicate<JsonNode> filter) {
         ArrayNode body = json.createArrayNode();
         for (Service s : named(name, tag)) {
+            if (!filter.test(service(s))) {
+                continue;
+            }
             ArrayNode its = json.createArrayNode();
             boolean all = true;
             for (Check c : checks.values()) {
--- a/src/main/java/slipfield/standin/Desks.java
+++ b/src/main/java/slipfield/standin/Desks.java
@@ -27,6 +27,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Stand-in desks: hand in orders at a rate, or each its next one when the last has ended, over kept connections. What
@@ -50,6 +51,7 @@
     private final Deque<Desk> free = new ArrayDeque<>();
     /** Closed loop: whose next order waits for the end of which. */
     private final Map<String, Desk> waiting = new HashMap<>();
+    private final AtomicInteger unanswered = new AtomicInteger();
     private long orders;
     private int connections;
     private double due;
@@ -115,6 +117,11 @@
         });
     }
 
+    /** Hand-ins that wait for their answer. */
+    int unanswered() {
+        return unanswered.get();
+    }
+
     /** Hands in no more. */
     public void stop() {
         loop.submit(() -> {
@@ -180,6 +187,7 @@
                     .set("X-Caller", TrialWorld.TENANT).set("X-Budget-Ms", budgetMs)
                     .set("X-Envelope", "dest=" + Platform.DESTINATION).set("Idempotency-Key", "key-" + out)
                     .set(HttpHeaderNames.CONTENT_LENGTH, BODY.length);
+            unanswered.incrementAndGet();
             channel.writeAndFlush(request);
             patience = loop.schedule(() -> {
                 channel.close();
@@ -199,6 +207,7 @@
                 waiting.put(id, this);
             }
             ledger.heard(id, taken);
+            unanswered.decrementAndGet();
             if (taken && closedLoop) {
                 if (ledger.hasEnded(id) && waiting.remove(id) != null) {
                     next();
@@ -213,6 +222,10 @@
         }
 
         private void gone() {
+            if (out != null) {
+                out = null;
+                unanswered.decrementAndGet();
+            }
             if (patience != null) {
                 patience.cancel(false);
             }
--- a/src/test/java/slipfield/directory/consul/ConsulDirectoryTest.java
+++ b/src/test/java/slipfield/directory/consul/ConsulDirectoryTest.java
@@ -204,6 +204,33 @@
         await(all(Status.CRITICAL));
     }
 
+    @Test
+    void aFilterOfTheOperatorsIsHandedOn() throws Exception {
+        cluster.register("venue", "v3", "127.0.0.1", 9003, List.of("spare"), Map.of("destination", "7"));
+        start(VENUE + ",\"filter\":\"\\\"orders\\\" in Service.Tags\"", first);
+        await(all(Status.PASSING));
+        cluster.check("service:v0", "critical");
+        await(all(Status.CRITICAL));
+    }
+
+    @Test
+    void aFilterThatConsulRefusesIsTold() throws Exception {
+        start(VENUE + ",\"filter\":\"nonsense\"", first);
+        Stub.await("it is told", () -> heard.troubles.stream().anyMatch(t -> t.contains("answered 400")));
+    }
+
+    @Test
+    void whileNothingChangesNoListIsSent() throws Exception {
+        start(VENUE, first);
+        await(all(Status.PASSING));
+        long lists = first.listed();
+        Stub.await("it is confirmed", () -> heard.confirmed.get() >= 4);
+        assertEquals(lists, first.listed());
+        cluster.check("service:v0", "critical");
+        await(all(Status.CRITICAL));
+        assertTrue(first.listed() > lists);
+    }
+
     @Test
     void anIndexThatGoesBackIsGivenUp() throws Exception {
         for (int i = 0; i < 50; i++) {
