--- a/src/test/java/slipfield/daemon/MembersTest.java
+++ b/src/test/java/slipfield/daemon/MembersTest.java
@@ -9,7 +9,6 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -56,18 +55,12 @@
         life();
     }
 
-    /** The sender is killed, and its port is free again. */
-    private void killed() throws Exception {
-        sender.kill();
-        Stub.await("its port is free", () -> {
-            try (ServerSocket port = new ServerSocket()) {
-                port.setReuseAddress(true);
-                port.bind(world.sender());
-                return true;
-            } catch (IOException e) {
-                return false;
-            }
-        });
+    /** The sender as a process of its own, which can be killed and started again at its port. */
+    private SenderProcess startProcess() throws Exception {
+        world = new TrialWorld(folder, new TrialWorld.Size(4, 1e6, 1000, 8000, 500, 64), Optional.of(CONSUL_ONLY));
+        SenderProcess process = new SenderProcess(folder, List.of(), List.of("-Xmx48m", "-XX:+UseSerialGC"));
+        process.start();
+        return process;
     }
 
     private void life() throws Exception {
@@ -179,17 +172,18 @@
 
     @Test
     void withEveryAgentDeadFromTheStartTheLastKnownViewServes() throws Exception {
-        start(CONSUL_ONLY);
-        orders();
-        awaitWhy(world.venues().get(3), "STEADY");
-        killed();
-        world.agents().forEach(ConsulAgent::close);
-        life();
-        flows();
-        Stub.await("its trouble is told", () -> view().path("sources").path("consul").path("trouble").asText()
-                .contains("no whole answer"));
-        assertEquals(4, view().path("members").size());
-        everyOrderEnds();
+        try (SenderProcess process = startProcess()) {
+            orders();
+            awaitWhy(world.venues().get(3), "STEADY");
+            process.kill();
+            world.agents().forEach(ConsulAgent::close);
+            process.start();
+            flows();
+            Stub.await("its trouble is told", () -> view().path("sources").path("consul").path("trouble").asText()
+                    .contains("no whole answer"));
+            assertEquals(4, view().path("members").size());
+            everyOrderEnds();
+        }
     }
 
     @Test
@@ -236,13 +230,14 @@
 
     @Test
     void aViewThatIsDamagedIsPassedOver() throws Exception {
-        start(CONSUL_ONLY);
-        orders();
-        killed();
-        Files.writeString(folder.resolve("state").resolve("members.json"), "{\"sources\":{\"consul\":{\"inst");
-        life();
-        flows();
-        everyOrderEnds();
+        try (SenderProcess process = startProcess()) {
+            orders();
+            process.kill();
+            Files.writeString(folder.resolve("state").resolve("members.json"), "{\"sources\":{\"consul\":{\"inst");
+            process.start();
+            flows();
+            everyOrderEnds();
+        }
     }
 
     @Test
