Membership read through: the view is written off the loop, one name for each thing

Need: while Consul was away the whole view was built as JSON on the core's loop at each failed round, and the kept view was read there at a start; each endpoint was judged twice in a decision; a check's id, a sender's options, its pinning and the view's file name stood in several places; a set of pools was searched as a list.

Change: what is written is taken down on the loop and built on the writer's thread, and only when the trouble is another one; the kept view is read before the loop starts; one judgement an endpoint, with what is held as a result; one piece for each name. The sender's deregistration may end after its 200 ms, while the rest ends: a test that depended on its speed failed once on a busy machine.

--- a/src/main/java/slipfield/cli/BenchCommand.java
+++ b/src/main/java/slipfield/cli/BenchCommand.java
@@ -52,7 +52,7 @@
     public Integer call() throws Exception {
         Path folder = Files.createTempDirectory("slipfield-bench");
         TrialWorld.Size size = new TrialWorld.Size(4, 1e6, 0, GIVE_UP_MS, 2000, 256);
-        List<String> wrapper = cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString());
+        List<String> wrapper = SenderProcess.pinned(cpu);
         List<String> jvm = options == null ? List.of() : List.of("@" + options.toAbsolutePath());
         try (TrialWorld world = new TrialWorld(folder, size)) {
             if (proxy != null) {
--- a/src/main/java/slipfield/cli/FlipsCommand.java
+++ b/src/main/java/slipfield/cli/FlipsCommand.java
@@ -64,10 +64,9 @@
     @Override
     public Integer call() throws Exception {
         Path folder = Files.createTempDirectory("slipfield-flips");
-        List<String> wrapper = cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString());
         TrialWorld.Size size = new TrialWorld.Size(VENUES, 1e6, 0, GIVE_UP_MS, 2000, 64);
         try (TrialWorld world = new TrialWorld(folder, size, Optional.of(MEMBERSHIP));
-                SenderProcess sender = new SenderProcess(folder, wrapper, List.of("-Xmx48m", "-XX:+UseSerialGC"))) {
+                SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), SenderProcess.SMALL)) {
             List<String> ids = register(world);
             sender.start();
             if (extra > 0) {
@@ -173,7 +172,7 @@
         if (maintenance) {
             world.consul().maintenance(venue.id(), out, "flip");
         } else {
-            world.consul().check("service:" + venue.id(), out ? "critical" : "passing");
+            world.consul().serviceCheck(venue.id(), out ? "critical" : "passing");
         }
     }
 }
--- a/src/main/java/slipfield/cli/MembersCommand.java
+++ b/src/main/java/slipfield/cli/MembersCommand.java
@@ -8,15 +8,18 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import slipfield.directory.merged.Members;
 
 /** The merged view of a sender's endpoints, as it last wrote it. */
 @Command(name = "members", mixinStandardHelpOptions = true, sortOptions = false,
@@ -36,7 +39,7 @@
 
     @Override
     public Integer call() {
-        Path file = folder.resolve("members.json");
+        Path file = folder.resolve(Members.VIEW);
         JsonNode view;
         try {
             if (!Files.exists(file)) {
@@ -65,8 +68,8 @@
     }
 
     private static boolean good(JsonNode view) {
-        List<Long> pools = new ArrayList<>();
-        List<Long> used = new ArrayList<>();
+        Set<Long> pools = new HashSet<>();
+        Set<Long> used = new HashSet<>();
         view.path("members").forEach(m -> {
             pools.add(m.path("destination").asLong());
             if (m.path("used").asBoolean()) {
--- a/src/main/java/slipfield/cli/TryCommand.java
+++ b/src/main/java/slipfield/cli/TryCommand.java
@@ -102,7 +102,7 @@
         Optional<String> membership = consul ? Optional.of("\"precedence\":[\"platform\",\"consul\"]")
                 : Optional.empty();
         try (TrialWorld world = new TrialWorld(at, size, membership);
-                SenderProcess sender = new SenderProcess(at, List.of(), List.of("-Xmx48m", "-XX:+UseSerialGC"))) {
+                SenderProcess sender = new SenderProcess(at, List.of(), SenderProcess.SMALL)) {
             sender.start();
             out().printf(Locale.ROOT, "The sender is up; %.0f orders a second for %d s.%n", rate, seconds);
             world.desks().atRate(rate);
@@ -154,7 +154,7 @@
     /** Consul at this part of the run. */
     private void flip(TrialWorld world, double part, double t) {
         boolean flaps = part < FLAPS_TO && (long) t % 2 == 1;
-        world.consul().check("service:" + world.venues().get(1).id(), flaps ? "critical" : "passing");
+        world.consul().serviceCheck(world.venues().get(1).id(), flaps ? "critical" : "passing");
         boolean out = part >= OUT_FROM && part < OUT_TO;
         if (out != maintained) {
             maintained = out;
--- a/src/main/java/slipfield/directory/consul/ConsulDirectory.java
+++ b/src/main/java/slipfield/directory/consul/ConsulDirectory.java
@@ -42,6 +42,8 @@
 
     /** A filter that no instance passes. */
     private static final String NOTHING = "Service.ID == \"\"";
+    /** More than a request may take. */
+    private static final long LEAVING_MS = 1000;
     private static final ConsulSettings.Mapping UNMAPPED = new ConsulSettings.Mapping(Optional.empty(), "", "");
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -56,6 +58,8 @@
     /** Services that were read in this life. */
     private final Set<String> read = new TreeSet<>();
     private Registration registration;
+    /** The end of the registration, on the thread that ends the sender. */
+    private Promise<Void> leaving;
 
     /** Reads certificates, if any; asks nothing yet. */
     public ConsulDirectory(ConsulSettings settings) throws BadInput {
@@ -178,7 +182,10 @@
         }));
     }
 
-    /** Takes the sender's own registration back, so that fronts turn elsewhere; waits for it a moment at most. */
+    /**
+     * Takes the sender's own registration back, so that fronts turn elsewhere; waits for it a moment at most. What is not
+     * answered by then goes on until {@link #close}.
+     */
     public void deregister(long mostMs) {
         Promise<Void> ended = loop.newPromise();
         loop.execute(() -> {
@@ -188,6 +195,7 @@
                 registration.end(() -> ended.setSuccess(null));
             }
         });
+        leaving = ended;
         ended.awaitUninterruptibly(mostMs);
     }
 
@@ -196,9 +204,12 @@
         return loop.submit(watches::size).syncUninterruptibly().getNow();
     }
 
-    /** Ends at once; nothing is told any more. */
+    /** Ends once the registration is taken back, if that is under way, or will not be; nothing is told any more. */
     @Override
     public void close() {
+        if (leaving != null) {
+            leaving.awaitUninterruptibly(LEAVING_MS);
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/src/main/java/slipfield/directory/consul/Watch.java
+++ b/src/main/java/slipfield/directory/consul/Watch.java
@@ -148,7 +148,7 @@
     }
 
     private void take(FullHttpResponse response) {
-        long before = index.index();
+        boolean blocked = index.index() > 0;
         String told = response.headers().get("X-Consul-Index");
         String leader = response.headers().get("X-Consul-KnownLeader");
         String contact = response.headers().get("X-Consul-LastContact");
@@ -168,11 +168,11 @@
                     fail("its answer can't be read: " + e.getMessage());
                     return;
                 }
-                good();
+                goOn(blocked);
             }
             case SAME -> {
                 listener.same();
-                good();
+                goOn(blocked);
             }
             case RESET -> {
                 // The same agent, if it is the only one.
@@ -181,17 +181,16 @@
             }
             case STALE -> fail("its server has no leader or lags behind it");
         }
-        if (verdict == BlockingIndex.Verdict.TAKE || verdict == BlockingIndex.Verdict.SAME) {
-            if (index.index() > 0) {
-                ask();
-            } else {
-                later(before > 0 ? LEAST_PAUSE_MS : UNBLOCKED_PAUSE_MS);
-            }
-        }
     }
 
-    private void good() {
+    /** After an answer that counts; without an index the next question will not block. */
+    private void goOn(boolean blocked) {
         failures = 0;
+        if (index.index() > 0) {
+            ask();
+        } else {
+            later(blocked ? LEAST_PAUSE_MS : UNBLOCKED_PAUSE_MS);
+        }
     }
 
     private void move() {
--- a/src/main/java/slipfield/directory/merged/Members.java
+++ b/src/main/java/slipfield/directory/merged/Members.java
@@ -26,6 +26,8 @@
  * way than without it; Consul is read on a loop of its own and hands over what it has read.
  */
 public final class Members implements Directory, AutoCloseable {
+    /** The file of the kept view, in the state folder. */
+    public static final String VIEW = "members.json";
     /** The view is written at most so often. */
     private static final long WRITE_MS = 500;
 
@@ -35,7 +37,10 @@
     private final ViewFile file;
     /** The platform tells changes; the module is told whole lists. */
     private final Map<String, Instance> platformList = new HashMap<>();
-    private final Map<String, String> troubles = new HashMap<>();
+    /** What Consul had said in an earlier life. */
+    private final ViewFile.Recalled kept;
+    /** Why Consul can't be read; empty: it can. */
+    private String trouble = "";
     private EventLoop loop;
     private Optional<Directory> platform = Optional.empty();
     private Lists lists;
@@ -51,6 +56,8 @@
         this.consul = config.consul().isPresent() ? Optional.of(new ConsulDirectory(config.consul().get()))
                 : Optional.empty();
         this.file = new ViewFile(state);
+        // Here, and not when it is wanted: that is on the core's loop, which must wait for no disk.
+        this.kept = file.recall(MembersConfig.CONSUL);
     }
 
     /** Reads the operator's file, and makes the directory of it that keeps its view in this folder. */
@@ -83,7 +90,6 @@
     }
 
     private void watch(ConsulDirectory from) {
-        ViewFile.Recalled kept = file.recall(MembersConfig.CONSUL);
         if (!kept.instances().isEmpty()) {
             long ageMs = Math.max(0, System.currentTimeMillis() - kept.heardMs());
             Log.line("consul's last known view is taken up, " + ageMs / 1000 + " s old, with "
@@ -117,14 +123,18 @@
 
     private void failed(String why) {
         membership.failed(MembersConfig.CONSUL, why);
-        if (troubles.put(MembersConfig.CONSUL, why) == null) {
+        if (trouble.isEmpty()) {
             Log.line("consul can't be read, its last word stands: " + why);
         }
-        writeSoon();
+        if (!why.equals(trouble)) {
+            trouble = why;
+            writeSoon();
+        }
     }
 
     private void recovered() {
-        if (troubles.remove(MembersConfig.CONSUL) != null) {
+        if (!trouble.isEmpty()) {
+            trouble = "";
             Log.line("consul can be read again");
             writeSoon();
         }
--- a/src/main/java/slipfield/directory/merged/ViewFile.java
+++ b/src/main/java/slipfield/directory/merged/ViewFile.java
@@ -9,6 +9,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -26,8 +28,6 @@
  * as none.
  */
 final class ViewFile implements AutoCloseable {
-    /** Its name in the state folder. */
-    static final String NAME = "members.json";
     private static final int VERSION = 1;
 
     private final Path path;
@@ -44,7 +44,7 @@
     }
 
     ViewFile(Path folder) {
-        this.path = folder.resolve(NAME);
+        this.path = folder.resolve(Members.VIEW);
     }
 
     /** What was kept of this source; nothing where none was, or the file is damaged. */
@@ -68,36 +68,51 @@
         }
     }
 
-    /** Writes the view as it is now; what it looks like is settled here, the rest is the writer's. */
+    /** The view at a time: nothing of it changes any more, so that it can be written on another thread. */
+    private record Snapshot(Map<String, Membership.SourceState> states, Map<String, Collection<Instance>> told,
+            Map<Long, Long> held, List<Member> members, long nowMs, long wallMs) {
+        long wall(long atMs) {
+            return wallMs - (nowMs - atMs);
+        }
+    }
+
+    /** Writes the view as it is now; here it is only taken down, all else is the writer's. */
     void write(Membership membership, long nowMs, long wallMs) {
-        ObjectNode view = json.createObjectNode().put("version", VERSION).put("written_ms", wallMs);
+        Map<String, Membership.SourceState> states = membership.sources(nowMs);
+        Map<String, Collection<Instance>> told = new HashMap<>();
+        states.keySet().forEach(source -> told.put(source, membership.told(source)));
+        Snapshot taken = new Snapshot(states, told, membership.held(), membership.members(), nowMs, wallMs);
+        writer.execute(() -> put(view(taken)));
+    }
+
+    private ObjectNode view(Snapshot taken) {
+        ObjectNode view = json.createObjectNode().put("version", VERSION).put("written_ms", taken.wallMs);
         ObjectNode sources = view.putObject("sources");
-        for (Map.Entry<String, Membership.SourceState> source : membership.sources(nowMs).entrySet()) {
-            Membership.SourceState state = source.getValue();
-            ObjectNode of = sources.putObject(source.getKey()).put("heard", state.heard())
-                    .put("heard_ms", state.heard() ? wallMs - state.ageMs() : 0)
+        taken.states.forEach((source, state) -> {
+            ObjectNode of = sources.putObject(source).put("heard", state.heard())
+                    .put("heard_ms", state.heard() ? taken.wallMs - state.ageMs() : 0)
                     .put("trouble", state.trouble().orElse(""));
             ArrayNode instances = of.putArray("instances");
-            membership.told(source.getKey()).forEach(i -> instances.addObject().put("id", i.id())
+            taken.told.get(source).forEach(i -> instances.addObject().put("id", i.id())
                     .put("address", i.address()).put("destination", i.destination()).put("kind", i.kind())
                     .put("zone", i.zone()).put("weight", i.weight()).put("status", i.status().name()));
-        }
+        });
         ObjectNode held = view.putObject("held");
-        membership.held().forEach((pool, since) -> held.put(pool.toString(), wallMs - (nowMs - since)));
+        taken.held.forEach((pool, since) -> held.put(pool.toString(), taken.wall(since)));
         ArrayNode members = view.putArray("members");
-        for (Member m : membership.members()) {
+        for (Member m : taken.members) {
             ObjectNode member = members.addObject().put("id", m.id()).put("address", m.endpoint().address())
                     .put("destination", m.endpoint().destination()).put("used", m.used()).put("why", m.why().name())
-                    .put("since_ms", wallMs - (nowMs - m.sinceMs()))
-                    .put("again_ms", m.againMs() == 0 ? 0 : wallMs + m.againMs() - nowMs);
+                    .put("since_ms", taken.wall(m.sinceMs()))
+                    .put("again_ms", m.againMs() == 0 ? 0 : taken.wall(m.againMs()));
             ObjectNode says = member.putObject("says");
             m.says().forEach((source, status) -> says.put(source, status.name()));
         }
-        writer.execute(() -> put(view));
+        return view;
     }
 
     private void put(ObjectNode view) {
-        Path fresh = path.resolveSibling(NAME + ".new");
+        Path fresh = path.resolveSibling(Members.VIEW + ".new");
         try {
             Files.write(fresh, json.writeValueAsBytes(view));
             Files.move(fresh, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
--- a/src/main/java/slipfield/membership/Membership.java
+++ b/src/main/java/slipfield/membership/Membership.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.EnumMap;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -149,9 +149,9 @@
         return all;
     }
 
-    /** What a source said last, whatever became of it. */
+    /** What a source said last, whatever became of it. It does not change when the source says something else. */
     public Collection<Instance> told(String name) {
-        return sources.get(name).instances.values();
+        return Collections.unmodifiableCollection(sources.get(name).instances.values());
     }
 
     /** Each source's state. */
@@ -273,36 +273,37 @@
     private void decide(long nowMs, Pool pool, List<Member> changed, List<String> gone) {
         pool.dirty = false;
         pool.againMs = Long.MAX_VALUE;
-        Map<Member.Why, Set<String>> sorted = new EnumMap<>(Member.Why.class);
-        for (Member.Why why : Member.Why.values()) {
-            sorted.put(why, new HashSet<>());
-        }
-        Set<String> used = sorted.get(Member.Why.STEADY);
+        Map<String, Member.Why> sorted = new HashMap<>();
+        Set<String> used = new HashSet<>();
+        Set<String> damped = new HashSet<>();
         for (Endpoint e : pool.endpoints.values()) {
             Member.Why why = why(nowMs, e);
-            sorted.get(why).add(e.key);
-            if (why == Member.Why.DAMPED) {
+            sorted.put(e.key, why);
+            if (why == Member.Why.STEADY) {
+                used.add(e.key);
+            } else if (why == Member.Why.DAMPED) {
+                damped.add(e.key);
                 pool.againMs = Math.min(pool.againMs, steadyAt(e));
             }
         }
-        floor(nowMs, pool, used, sorted);
+        held(nowMs, pool, used, damped).forEach(key -> sorted.put(key, Member.Why.HELD));
         List<Endpoint> forgotten = new ArrayList<>();
         for (Endpoint e : pool.endpoints.values()) {
-            Member.Why why = sorted.get(Member.Why.HELD).contains(e.key) ? Member.Why.HELD : why(nowMs, e);
-            if (why == Member.Why.GONE) {
-                if (e.shown != null) {
-                    gone.add(e.id);
-                    e.shown = null;
-                }
-                if (!e.stopped || stops(e, nowMs) < FORGOTTEN) {
-                    forgotten.add(e);
-                } else {
-                    // Its stops are remembered for a while, should it come back.
-                    pool.againMs = Math.min(pool.againMs, nowMs + rules.forgiveMs());
-                }
+            Member.Why why = sorted.get(e.key);
+            if (why != Member.Why.GONE) {
+                show(nowMs, e, why, changed);
                 continue;
             }
-            show(nowMs, e, why, changed);
+            if (e.shown != null) {
+                gone.add(e.id);
+                e.shown = null;
+            }
+            if (!e.stopped || stops(e, nowMs) < FORGOTTEN) {
+                forgotten.add(e);
+            } else {
+                // Its stops are remembered for a while, should it come back.
+                pool.againMs = Math.min(pool.againMs, nowMs + rules.forgiveMs());
+            }
         }
         forgotten.forEach(e -> {
             pool.endpoints.remove(e.key);
@@ -332,13 +333,12 @@
         }
     }
 
-    /** Fills {@code HELD} where the view would lose too much at once. */
-    private void floor(long nowMs, Pool pool, Set<String> used, Map<Member.Why, Set<String>> sorted) {
+    /** What is used all the same, since the pool would lose too much at once without it. */
+    private Set<String> held(long nowMs, Pool pool, Set<String> used, Set<String> damped) {
         Set<String> reference = new HashSet<>(pool.good);
         // What came since the last good view was taken is part of what there is to lose.
         pool.endpoints.values().stream().filter(e -> e.shown != null && e.shown.used()).forEach(e -> reference.add(e.key));
         reference.removeIf(key -> pool.endpoints.get(key) == null || pool.endpoints.get(key).draining());
-        Set<String> damped = sorted.get(Member.Why.DAMPED);
         boolean empty = used.isEmpty() && !(reference.isEmpty() && damped.isEmpty());
         boolean shrunk = used.size() < (1 - rules.mostShrink()) * reference.size();
         boolean accepted = !empty && pool.heldSince.isPresent()
@@ -352,19 +352,20 @@
                 pool.againMs = Math.min(pool.againMs, pool.goodMs + rules.windowMs());
             }
             pool.heldSince = Optional.empty();
-            return;
+            return Set.of();
         }
         long since = pool.heldSince.orElse(nowMs);
         pool.heldSince = Optional.of(since);
         if (!empty) {
             pool.againMs = Math.min(pool.againMs, since + rules.acceptMs());
         }
-        Set<String> held = sorted.get(Member.Why.HELD);
+        Set<String> held = new HashSet<>();
         // What is back and only not steady goes before what has failed.
         damped.stream().filter(key -> empty || reference.contains(key)).forEach(held::add);
         int enough = (int) Math.ceil((1 - rules.mostShrink()) * reference.size());
         if (used.size() + held.size() < Math.max(1, enough)) {
             reference.stream().filter(key -> !used.contains(key)).forEach(held::add);
         }
+        return held;
     }
 }
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -11,6 +11,9 @@
 
 /** The sender itself, as a process of its own: started, killed and started again over the same journal. */
 public final class SenderProcess implements AutoCloseable {
+    /** The JVM's options of a sender with as much heap as the desk's has. */
+    public static final List<String> SMALL = List.of("-Xmx48m", "-XX:+UseSerialGC");
+
     private static final long START_MS = 30_000;
     private static final long LOOK_MS = 10;
     private static final String LISTENS = " listens at ";
@@ -34,6 +37,11 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "slipfield.Main", "serve"));
     }
 
+    /** What pins a process to this core; {@code null}: nothing does. */
+    public static List<String> pinned(Integer cpu) {
+        return cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString());
+    }
+
     /** Starts it, and waits until clients can connect. */
     public void start() throws IOException, InterruptedException {
         Path log = log(lives++);
