A killed sender lets go of its port; the test of an id that moves fails when that is broken

Need: a sender killed within a test's own process sometimes kept its port (once in 293 tests), and the test of an id that moves with calls out did not fail on a break.

Cause of the first, by a test that kills 300 lives in a row and prints the system's sockets at the failure (it failed at the second life): listener and accepted connections were still open though their loop had ended. Netty 4.2's loop looks whether it is shutting down before it runs its tasks, and with no quiet period may end in that same round, without the step that closes its channels. Of the second: the new address had been known before and kept its own id, so nothing moved.

Change: kill asks for a quiet period, which makes one more round certain. The id moves to a venue that was never seen.

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -44,6 +44,7 @@
     /** The same for what is taken while the loop is late: its end may be as late again as its request was. */
     private static final long UNREAD_LATE_MS = 1000;
     private static final long DRAIN_POLL_MS = 20;
+    private static final long KILL_QUIET_MS = 100;
     /** An endpoint that has left the list is forgotten after so long: no call lasts till then. */
     private static final long GONE_MS = 60_000;
     /** A message that is ended so much after it was due is traced: half of what the rules leave. */
@@ -777,9 +778,13 @@
         return loop.submit(recovery::turns).syncUninterruptibly().getNow();
     }
 
-    /** Lets go of everything at once, as the end of the process would: the journal first. */
+    /**
+     * Lets go of everything at once, as the end of the process would: the journal first. The quiet period is not for quiet:
+     * without one Netty 4.2's loop may end in the round in which it is told to, before it has closed its channels, and the
+     * port stays taken for the life of the process.
+     */
     public void kill() {
         loop.submit(journal::close).syncUninterruptibly();
-        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        group.shutdownGracefully(KILL_QUIET_MS, 10 * KILL_QUIET_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 }
--- a/src/test/java/slipfield/daemon/MembersTest.java
+++ b/src/test/java/slipfield/daemon/MembersTest.java
@@ -2,12 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -124,6 +129,18 @@
         });
     }
 
+    /** The id under which the core knows what is at this venue's address. */
+    private String idAt(Venue venue) throws Exception {
+        awaitWhy(venue, "STEADY");
+        String address = "127.0.0.1:" + venue.address().getPort();
+        for (JsonNode m : view().path("members")) {
+            if (m.path("address").asText().equals(address)) {
+                return m.path("id").asText();
+            }
+        }
+        return "";
+    }
+
     private JsonNode view() {
         try {
             return JsonMapper.builder().build().readTree(folder.resolve("state").resolve("members.json").toFile());
@@ -204,20 +221,26 @@
     @Test
     void theSameIdAtAnotherAddressWithCallsOutLosesAndDoublesNothing() throws Exception {
         start(CONSUL_ONLY);
-        Venue target = world.venues().get(1);
-        world.consul().deregister(target.id());
         orders();
         Venue moving = busiest();
-        moving.mood(Venue.Mood.LATE);
-        long before = moving.asked();
-        Stub.await("a call is out", () -> moving.asked() > before);
-        world.consul().deregister(moving.id());
-        world.consul().register("venue", moving.id(), "127.0.0.1", target.address().getPort(), List.of(),
-                Map.of("destination", "1"));
-        left(moving);
-        awaitWhy(target, "STEADY");
-        moving.mood(Venue.Mood.UP);
-        everyOrderEnds();
+        String known = idAt(moving);
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        // At an address that the sender has never seen: one that it knows would keep its own id.
+        try (Venue target = new Venue(group, "target", world.ledger(), 1e6, 1000)) {
+            moving.mood(Venue.Mood.LATE);
+            long before = moving.asked();
+            Stub.await("a call is out", () -> moving.asked() > before);
+            world.consul().register("venue", moving.id(), "127.0.0.1", target.address().getPort(), List.of(),
+                    Map.of("destination", "1"));
+            left(moving);
+            // What is still out at the old address must not be put down to the new one.
+            assertNotEquals(known, idAt(target));
+            Stub.await("the new address is used", () -> target.asked() > 0);
+            moving.mood(Venue.Mood.UP);
+            everyOrderEnds();
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
     }
 
     @Test
@@ -228,6 +251,19 @@
         Stub.await("it is taken off", () -> world.consul().status("slipfield").isEmpty());
     }
 
+    /** Netty's loop may end with its channels open: then the next life finds its port taken. */
+    @Test
+    void aSenderThatIsKilledLetsGoOfItsPort() throws Exception {
+        start(CONSUL_ONLY);
+        world.desks().atRate(200);
+        for (int lives = 0; lives < 15; lives++) {
+            sender.kill();
+            life();
+        }
+        flows();
+        everyOrderEnds();
+    }
+
     @Test
     void aViewThatIsDamagedIsPassedOver() throws Exception {
         try (SenderProcess process = startProcess()) {
