--- /dev/null
+++ b/src/main/java/slipfield/client/Answers.java
@@ -0,0 +1,71 @@
+package slipfield.client;
+
+import io.netty.handler.codec.DateFormatter;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.nio.charset.StandardCharsets;
+import java.util.Date;
+import java.util.Locale;
+import slipfield.client.decide.Heard;
+
+/** What a sender's answer to a hand-in proves (PROTOCOL, "Clients to senders"). */
+final class Answers {
+    /** What a refusal's wait holds for: documented in docs/operate/client.md. */
+    static final String SCOPE = "X-Wait-Scope";
+    /** Over what time, in ms, a sender's clients are to connect anew. */
+    static final String WINDOW = "X-Reconnect-Within-Ms";
+    /** A wait is believed up to this: some 30 years, in ms. */
+    private static final double LONGEST_WAIT_MS = 1e12;
+    private static final int LONGEST_REASON = 200;
+
+    private Answers() {
+    }
+
+    static Heard heard(FullHttpResponse answer, long wallMs) {
+        int status = answer.status().code();
+        String reason = answer.content().toString(StandardCharsets.UTF_8).lines().findFirst().orElse("");
+        String why = status + (reason.isBlank() ? "" : " " + reason.substring(0, Math.min(LONGEST_REASON, reason.length())));
+        return switch (status) {
+            case 200, 202 -> Heard.taken();
+            case 429, 503 -> Heard.refused(waitMs(answer.headers().get(HttpHeaderNames.RETRY_AFTER), wallMs),
+                    scope(answer.headers().get(SCOPE, "")), why);
+            // Not whole in time: it was not read, and may come again.
+            case 408 -> Heard.unsent(why);
+            case 400, 404, 405, 413, 431 -> Heard.rejected(why);
+            default -> Heard.lost(why);
+        };
+    }
+
+    /**
+     * A {@code Retry-After} in ms: seconds, whole or decimal, or a date (RFC 9110, 10.2.3). What is neither, negative or
+     * in the past tells nothing: 0.
+     */
+    static long waitMs(String value, long wallMs) {
+        if (value == null) {
+            return 0;
+        }
+        String text = value.trim();
+        try {
+            double seconds = Double.parseDouble(text);
+            return seconds > 0 ? (long) Math.ceil(Math.min(LONGEST_WAIT_MS, seconds * 1000)) : 0;
+        } catch (NumberFormatException notSeconds) {
+            Date date = DateFormatter.parseHttpDate(text);
+            return date == null ? 0 : (long) Math.min(LONGEST_WAIT_MS, Math.max(0, date.getTime() - wallMs));
+        }
+    }
+
+    /** An unnamed one is the sender's: it is asked for nothing more, and others may be. */
+    private static Heard.Scope scope(String name) {
+        return switch (name.toLowerCase(Locale.ROOT)) {
+            case "destination" -> Heard.Scope.DESTINATION;
+            case "tenant" -> Heard.Scope.TENANT;
+            default -> Heard.Scope.SENDER;
+        };
+    }
+
+    /** A told window in ms, or -1. */
+    static long window(FullHttpResponse answer) {
+        String value = answer.headers().get(WINDOW, "");
+        return value.matches("[0-9]{1,9}") ? Long.parseLong(value) : -1;
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/client/Client.java
@@ -0,0 +1,391 @@
+package slipfield.client;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import slipfield.client.decide.Courier;
+import slipfield.client.decide.End;
+import slipfield.client.decide.Heard;
+
+/**
+ * Hands orders in at senders. Each submitted order has one end, told once, within its time (and where ends are followed the
+ * grace of {@link slipfield.client.decide.Rules}). May be used from any thread; one event loop does all its work.
+ */
+public final class Client implements AutoCloseable {
+    private static final long SWEEP_MS = 250;
+    /** A sender that does not say whether it is ready in this time is not. */
+    private static final long READY_MS = 1000;
+    private static final long CLOSE_S = 5;
+
+    private final ClientSettings settings;
+    private final EventLoopGroup ownGroup;
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final long startNanos = System.nanoTime();
+    private final Courier courier;
+    private final Map<String, Submission> byKey = new ConcurrentHashMap<>();
+    private final Follower follower;
+    /** What follows is the loop's alone. */
+    private final Map<Long, Out> orders = new HashMap<>();
+    private final Map<Submission, Long> numbers = new HashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<String, Deque<Link>> idle = new HashMap<>();
+    private final String callPrefix = Order.newKey().substring(0, 16) + "-";
+    private long nextNumber;
+    private long nextCall;
+    private ScheduledFuture<?> timer;
+    private long timerMs = Long.MAX_VALUE;
+    private boolean closed;
+
+    /** An order that has no end yet, and the link that its hand-in is out on. */
+    private static final class Out {
+        private final Submission submission;
+        private Link link;
+        private int attempt;
+
+        private Out(Submission submission) {
+            this.submission = submission;
+        }
+    }
+
+    /** A client with a thread of its own. */
+    public Client(ClientSettings settings) {
+        this(settings, new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("slipfield-client", true),
+                NioIoHandler.newFactory()), true);
+    }
+
+    /** One of several on the same threads, which it does not end. */
+    public Client(ClientSettings settings, EventLoopGroup group) {
+        this(settings, group, false);
+    }
+
+    private Client(ClientSettings settings, EventLoopGroup group, boolean own) {
+        this.settings = settings;
+        this.ownGroup = own ? group : null;
+        this.loop = group.next();
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMs())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        // A link adds its handlers once it stands.
+                    }
+                });
+        this.courier = new Courier(settings.rules(), new SplittableRandom(settings.seed()), 0, new Doing());
+        this.follower = settings.rules().follows() ? new Follower(settings.name(), loop, this::connectTo, this::told) : null;
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        settings.senders().start(list -> loop.execute(() -> listed(list)));
+    }
+
+    private long now() {
+        return (System.nanoTime() - startNanos) / 1_000_000;
+    }
+
+    /**
+     * Takes an order over. One whose key is that of an order without an end is that order: the same submission is returned.
+     * Never blocks, and never throws for what senders do.
+     */
+    public Submission submit(Order order) {
+        Submission fresh = new Submission(order, this::cancel);
+        Submission before = byKey.putIfAbsent(order.key(), fresh);
+        if (before != null) {
+            return before;
+        }
+        try {
+            loop.execute(() -> {
+                long number = nextNumber++;
+                orders.put(number, new Out(fresh));
+                numbers.put(fresh, number);
+                courier.submit(now(), number, settings.rule(order.messageClass()), Long.toString(order.destination()),
+                        order.tenant(), order.within().toMillis());
+                rearm();
+            });
+        } catch (RejectedExecutionException e) {
+            byKey.remove(order.key(), fresh);
+            fresh.ended(new End.Failed(false, "the client is closed"));
+        }
+        return fresh;
+    }
+
+    private CompletableFuture<Boolean> cancel(Submission submission) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        try {
+            loop.execute(() -> {
+                Long number = numbers.get(submission);
+                done.complete(number != null && courier.cancel(now(), number));
+                rearm();
+            });
+        } catch (RejectedExecutionException e) {
+            done.complete(false);
+        }
+        return done;
+    }
+
+    private void listed(List<InetSocketAddress> list) {
+        List<String> names = new ArrayList<>();
+        for (InetSocketAddress address : list) {
+            String name = address.getAddress().getHostAddress() + ":" + address.getPort();
+            addresses.put(name, address);
+            names.add(name);
+        }
+        courier.senders(now(), names);
+        rearm();
+    }
+
+    private void connectTo(Link link) {
+        link.connect(bootstrap.clone().remoteAddress(addresses.get(link.sender)));
+    }
+
+    /** The end of a hand-in, as a sender tells it. */
+    private void told(long number, int attempt, End end) {
+        courier.ended(now(), number, attempt, end);
+        rearm();
+    }
+
+    /** One timer, for the next thing that falls due. */
+    private void rearm() {
+        long next = courier.nextMs();
+        if (timer != null && next >= timerMs && !timer.isDone()) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+        timerMs = next;
+        if (next != Long.MAX_VALUE && !closed) {
+            timer = loop.schedule(() -> {
+                timerMs = Long.MAX_VALUE;
+                timer = null;
+                courier.tick(now());
+                rearm();
+            }, Math.max(1, next - now()), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Connections that stood long are closed before the sender does: a hand-in that crosses its close may have run. */
+    private void sweep() {
+        long now = now();
+        idle.forEach((sender, links) -> {
+            while (!links.isEmpty() && now - links.peekLast().idleSinceMs >= settings.keepMs()) {
+                links.removeLast().close();
+                courier.retired(now, sender);
+            }
+        });
+        rearm();
+    }
+
+    private void free(Link link) {
+        link.idleSinceMs = now();
+        idle.computeIfAbsent(link.sender, s -> new ArrayDeque<>()).addFirst(link);
+    }
+
+    /** What the courier decides is done here. */
+    private final class Doing implements Courier.Actions {
+        @Override
+        public void handIn(long number, int attempt, String sender, long budgetMs, Courier.Again again) {
+            Out out = orders.get(number);
+            Link link = idle.getOrDefault(sender, new ArrayDeque<>()).pollFirst();
+            out.attempt = attempt;
+            out.link = link;
+            if (link == null || !link.free()) {
+                // It closed in this moment, and its owner hears of that later.
+                loop.execute(() -> {
+                    if (out.attempt == attempt && orders.get(number) == out) {
+                        if (link != null) {
+                            link.close();
+                        }
+                        out.link = null;
+                        courier.heard(now(), number, attempt, Heard.unsent("the connection was closed"), false, false);
+                        rearm();
+                    }
+                });
+                return;
+            }
+            ((Pool) link.owner()).out = number;
+            String call = callPrefix + nextCall++;
+            if (follower != null) {
+                follower.expect(call, number, attempt);
+                follower.up(sender);
+            }
+            link.ask(request(out.submission.order(), call, budgetMs, again));
+        }
+
+        @Override
+        public void abandon(long number, int attempt) {
+            Out out = orders.get(number);
+            if (out != null && out.link != null) {
+                out.link.close();
+                out.link = null;
+            }
+        }
+
+        @Override
+        public void connect(String sender, boolean trial) {
+            connectTo(new Link(sender, new Pool(trial)));
+        }
+
+        @Override
+        public void end(long number, End end) {
+            Out out = orders.get(number);
+            if (out.link == null) {
+                orders.remove(number);
+            }
+            numbers.remove(out.submission);
+            byKey.remove(out.submission.order().key(), out.submission);
+            if (follower != null) {
+                follower.over(number);
+            }
+            out.submission.ended(end);
+        }
+    }
+
+    private FullHttpRequest request(Order order, String call, long budgetMs, Courier.Again again) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST,
+                "/" + order.messageClass(), Unpooled.wrappedBuffer(order.body()));
+        request.headers().set("X-Call-Id", call).set("X-Call-Class", order.messageClass())
+                .set("X-Caller", order.tenant()).set("X-Budget-Ms", budgetMs)
+                .set("X-Envelope", "dest=" + order.destination()).set("Idempotency-Key", order.key())
+                .set(HttpHeaderNames.CONTENT_LENGTH, order.body().length);
+        if (again != Courier.Again.NO) {
+            request.headers().set("X-Again", again == Courier.Again.REFUSED ? "1" : "again");
+        }
+        if (follower != null) {
+            request.headers().set(Follower.TO, settings.name());
+        }
+        return request;
+    }
+
+    /** The side of a link that hands orders in. */
+    private final class Pool implements Link.Owner {
+        private boolean trial;
+        private Long out;
+
+        private Pool(boolean trial) {
+            this.trial = trial;
+        }
+
+        @Override
+        public void up(Link link) {
+            if (trial) {
+                link.get("/healthz", READY_MS);
+            } else {
+                ready(link);
+            }
+        }
+
+        private void ready(Link link) {
+            free(link);
+            courier.connected(now(), link.sender);
+            if (follower != null) {
+                follower.up(link.sender);
+            }
+            rearm();
+        }
+
+        @Override
+        public void answered(Link link, FullHttpResponse answer, boolean stays) {
+            courier.window(now(), link.sender, Answers.window(answer));
+            if (trial) {
+                trial = false;
+                if (answer.status().code() == 200 && stays) {
+                    ready(link);
+                } else {
+                    link.close();
+                    courier.connectFailed(now(), link.sender);
+                    rearm();
+                }
+                return;
+            }
+            long number = out;
+            out = null;
+            Out order = orders.get(number);
+            if (stays) {
+                free(link);
+            }
+            Heard heard = Answers.heard(answer, System.currentTimeMillis());
+            settle(number, order, heard, stays, !stays);
+        }
+
+        @Override
+        public void gone(Link link, boolean written, String why) {
+            if (out != null) {
+                long number = out;
+                out = null;
+                settle(number, orders.get(number), written ? Heard.lost(why) : Heard.unsent(why), false, false);
+            } else if (idle.getOrDefault(link.sender, new ArrayDeque<>()).remove(link)) {
+                courier.closed(now(), link.sender, false);
+            } else {
+                courier.connectFailed(now(), link.sender);
+            }
+            rearm();
+        }
+
+        private void settle(long number, Out order, Heard heard, boolean stays, boolean inOrder) {
+            order.link = null;
+            if (numbers.get(order.submission) == null) {
+                // Its end was told before its answer came.
+                orders.remove(number);
+            }
+            courier.heard(now(), number, order.attempt, heard, stays, inOrder);
+            rearm();
+        }
+    }
+
+    /** Orders that have no end yet. */
+    public int open() {
+        return byKey.size();
+    }
+
+    /** Ends each order that has no end yet, told with whether it may have run, and lets go of all connections. */
+    @Override
+    public void close() {
+        settings.senders().close();
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            closed = true;
+            courier.close(now());
+            idle.values().forEach(links -> links.forEach(Link::close));
+            idle.clear();
+            if (follower != null) {
+                follower.close();
+            }
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            done.complete(null);
+        });
+        done.join();
+        if (ownGroup != null) {
+            ownGroup.shutdownGracefully(1, CLOSE_S * 1000, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/client/SenderFile.java
@@ -0,0 +1,98 @@
+package slipfield.client;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.snakeyaml.engine.v2.api.Load;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
+
+/**
+ * Senders from a YAML file with one list, {@code senders: [127.0.0.1:7070, ...]}. It is looked at once a second; one that
+ * can't be read, or names none, leaves the last list standing.
+ */
+public final class SenderFile implements Senders {
+    private static final Logger LOG = LoggerFactory.getLogger(SenderFile.class);
+    private static final long LOOK_MS = 1000;
+
+    private final Path path;
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(run -> {
+        Thread daemon = new Thread(run, "slipfield-senders");
+        daemon.setDaemon(true);
+        return daemon;
+    });
+    private String last = "";
+
+    /** Of this file. */
+    public SenderFile(Path path) {
+        this.path = path;
+    }
+
+    @Override
+    public void start(Consumer<List<InetSocketAddress>> told) {
+        thread.scheduleWithFixedDelay(() -> look(told), 0, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void look(Consumer<List<InetSocketAddress>> told) {
+        String text;
+        try {
+            text = Files.readString(path, StandardCharsets.UTF_8);
+            if (text.equals(last)) {
+                return;
+            }
+            last = text;
+            told.accept(read(path, text));
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.warn("senders.unreadable cause={}", e.toString());
+        }
+    }
+
+    /** The file's list; an {@link IllegalArgumentException} names the file and the mend. */
+    static List<InetSocketAddress> read(Path path, String text) {
+        Object root;
+        try {
+            root = new Load(LoadSettings.builder().setLabel(path.toString()).build()).loadFromString(text);
+        } catch (YamlEngineException e) {
+            throw new IllegalArgumentException(path + ": " + e.getMessage(), e);
+        }
+        if (!(root instanceof Map<?, ?> map) || !(map.get("senders") instanceof List<?> list) || map.size() > 1) {
+            throw new IllegalArgumentException(path + ": has one list; write `senders: [127.0.0.1:7070]`");
+        }
+        List<InetSocketAddress> senders = new ArrayList<>();
+        for (Object item : list) {
+            senders.add(address(path + ": ", String.valueOf(item)));
+        }
+        return senders;
+    }
+
+    /** An address as {@code 127.0.0.1:7070}; no names, as senders are known by addresses. */
+    static InetSocketAddress address(String place, String text) {
+        int cut = text.lastIndexOf(':');
+        try {
+            if (cut > 0 && text.substring(0, cut).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+                return new InetSocketAddress(InetAddress.getByName(text.substring(0, cut)),
+                        Integer.parseInt(text.substring(cut + 1)));
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            // Told below.
+        }
+        throw new IllegalArgumentException(place + "not an address with a port: '" + text + "'; write it as 127.0.0.1:7070");
+    }
+
+    @Override
+    public void close() {
+        thread.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/client/decide/Courier.java
@@ -0,0 +1,718 @@
+package slipfield.client.decide;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+/**
+ * Every order of a client from its submission to its one end. It is told what happens, with the time, and answers by
+ * {@link Actions}, at once and in order. Each order has at most one hand-in out. Times are in ms of a clock that does not
+ * go back; one that does stands still here.
+ */
+public final class Courier {
+    /** What a hand-in says of those before it (PROTOCOL, X-Again). */
+    public enum Again {
+        /** Nothing: it is the first, or no earlier one reached a sender. */
+        NO,
+        /** An earlier one was refused. */
+        REFUSED,
+        /** A sender had an earlier one and died, or did not answer. */
+        UNHEARD
+    }
+
+    /** What is to be done. None of it calls back before it returns. */
+    public interface Actions {
+        /** Hands the order in over an idle connection to this sender; {@code budgetMs}: how long it may still run. */
+        void handIn(long order, int attempt, String sender, long budgetMs, Again again);
+
+        /** Stops waiting for this hand-in's answer: its connection is closed. */
+        void abandon(long order, int attempt);
+
+        /** Opens one more connection to this sender; {@code trial}: asks on it whether the sender is ready, too. */
+        void connect(String sender, boolean trial);
+
+        /** The order's one end. */
+        void end(long order, End end);
+    }
+
+    private static final int MOST_DOUBLINGS = 10;
+    /** Connections being made to one sender at once. */
+    private static final int MOST_CONNECTING = 4;
+
+    private final Rules rules;
+    private final RandomGenerator random;
+    private final Actions actions;
+    private final Map<Long, Item> orders = new HashMap<>();
+    private final Map<String, Sender> senders = new LinkedHashMap<>();
+    /** May be handed in now, the one whose time is over first ahead. */
+    private final TreeSet<Item> ready = new TreeSet<>(Item.BY_DEADLINE);
+    /** May be handed in later. */
+    private final TreeSet<Item> parked = new TreeSet<>(Item.BY_PAUSE);
+    /** All that have no end yet, by when they end at the latest. */
+    private final TreeSet<Item> live = new TreeSet<>(Item.BY_END);
+    /** Hand-ins out, by when their answer is no longer waited for. */
+    private final TreeSet<Item> out = new TreeSet<>(Item.BY_ANSWER);
+    private final Waits<String> senderWaits = new Waits<>();
+    private final Waits<String> destinationWaits = new Waits<>();
+    private final Waits<String> tenantWaits = new Waits<>();
+    private final RetryBudget budget;
+    private final Level level;
+    private long now;
+    private boolean pumping;
+    private boolean closed;
+
+    /** An order. */
+    private static final class Item {
+        static final Comparator<Item> BY_DEADLINE = Comparator.<Item>comparingLong(i -> i.deadlineMs)
+                .thenComparingLong(i -> i.number);
+        static final Comparator<Item> BY_END = Comparator.<Item>comparingLong(i -> i.endMs)
+                .thenComparingLong(i -> i.number);
+        static final Comparator<Item> BY_PAUSE = Comparator.<Item>comparingLong(i -> i.notBeforeMs)
+                .thenComparingLong(i -> i.number);
+        static final Comparator<Item> BY_ANSWER = Comparator.<Item>comparingLong(i -> i.answerMs)
+                .thenComparingLong(i -> i.number);
+
+        final long number;
+        final ClassRule rule;
+        final String destination;
+        final String tenant;
+        final long deadlineMs;
+        /** When it ends at the latest: its deadline, and later where a sender has it. */
+        long endMs;
+        long notBeforeMs;
+        long answerMs;
+        int attempts;
+        /** Hand-ins in a row that came to nothing. */
+        int fruitless;
+        /** When the first hand-in was made that may have been taken; negative: none. */
+        long firstMs = -1;
+        /** The same, of those that are answered for or given up: without the one that is out. */
+        long firstBeforeMs = -1;
+        long sentMs;
+        Sender at;
+        Again again = Again.NO;
+        boolean taken;
+        boolean cancelled;
+        /** Its end is told; its hand-in still waits for an answer that came later than that. */
+        boolean over;
+        String lastWhy = "";
+
+        Item(long number, ClassRule rule, String destination, String tenant, long deadlineMs) {
+            this.number = number;
+            this.rule = rule;
+            this.destination = destination;
+            this.tenant = tenant;
+            this.deadlineMs = deadlineMs;
+            this.endMs = deadlineMs;
+        }
+    }
+
+    /** Begins at this time, without senders. */
+    public Courier(Rules rules, RandomGenerator random, long nowMs, Actions actions) {
+        this.rules = rules;
+        this.random = random;
+        this.actions = actions;
+        this.now = nowMs;
+        this.budget = new RetryBudget(rules.retryShare(), rules.retryBurst(), nowMs);
+        this.level = new Level(rules.leastInFlight(), rules.mostInFlight(), nowMs);
+    }
+
+    private void at(long nowMs) {
+        now = Math.max(now, nowMs);
+    }
+
+    // ---- what is told ----
+
+    /** The list of senders; one that left it gets nothing new. An empty list stands for not knowing: the last one stays. */
+    public void senders(long nowMs, Collection<String> names) {
+        at(nowMs);
+        if (names.isEmpty()) {
+            return;
+        }
+        Set<String> listed = new HashSet<>(names);
+        senders.values().forEach(s -> s.listed = listed.contains(s.name));
+        senders.values().removeIf(s -> !s.listed && s.connections() == 0);
+        for (String name : listed) {
+            // The first connection of a client's life waits for nothing.
+            senders.computeIfAbsent(name, n -> new Sender(n, now));
+        }
+        pump();
+    }
+
+    /**
+     * An order, under a number of the caller's own that is not used twice.
+     *
+     * @param withinMs its time, from now
+     */
+    public void submit(long nowMs, long number, ClassRule rule, String destination, String tenant, long withinMs) {
+        at(nowMs);
+        Item item = new Item(number, rule, destination, tenant, now + withinMs);
+        orders.put(number, item);
+        live.add(item);
+        if (closed) {
+            end(item, new End.Failed(false, "the client is closed"));
+        } else if (ready.size() + parked.size() >= rules.mostQueued()) {
+            end(item, new End.Refused(0, "the client holds " + rules.mostQueued() + " orders already"));
+        } else {
+            ready.add(item);
+            pump();
+        }
+    }
+
+    /** Calls an order off, if no sender has it yet; returns whether it is over, or will be unless its hand-in is taken. */
+    public boolean cancel(long nowMs, long number) {
+        at(nowMs);
+        Item item = orders.get(number);
+        if (item == null || item.taken || item.over) {
+            return false;
+        }
+        item.cancelled = true;
+        if (item.at == null) {
+            end(item, item.firstMs < 0 ? new End.Failed(false, "cancelled")
+                    : new End.Unknown(false, "cancelled; " + item.lastWhy));
+        }
+        pump();
+        return true;
+    }
+
+    /** A connection to this sender stands; of a trial: and it says that it is ready. */
+    public void connected(long nowMs, String name) {
+        at(nowMs);
+        Sender sender = senders.get(name);
+        if (sender == null) {
+            return;
+        }
+        sender.connecting = Math.max(0, sender.connecting - 1);
+        sender.idle++;
+        sender.failures = 0;
+        if (sender.state != Sender.State.UP) {
+            sender.state = Sender.State.UP;
+            sender.unanswered = 0;
+            sender.backMs = now;
+            sender.connectMs = now + refillMs(sender);
+        }
+        pump();
+    }
+
+    /** A connection did not come up, or the sender is not ready on it: it is closed. */
+    public void connectFailed(long nowMs, String name) {
+        at(nowMs);
+        Sender sender = senders.get(name);
+        if (sender == null) {
+            return;
+        }
+        sender.connecting = Math.max(0, sender.connecting - 1);
+        sender.failures++;
+        sender.connectMs = now + (rules.pauseMs() << Math.min(MOST_DOUBLINGS, sender.failures));
+        lost(sender);
+        pump();
+    }
+
+    /** A connection was closed that no hand-in was out on; {@code inOrder}: the sender said so before. */
+    public void closed(long nowMs, String name, boolean inOrder) {
+        at(nowMs);
+        Sender sender = senders.get(name);
+        if (sender == null) {
+            return;
+        }
+        sender.idle = Math.max(0, sender.idle - 1);
+        if (inOrder) {
+            sender.drainingUntilMs = now + rules.drainMs();
+        }
+        lost(sender);
+        pump();
+    }
+
+    /** An idle connection was closed from this side, before the sender would: nothing is lost by it. */
+    public void retired(long nowMs, String name) {
+        at(nowMs);
+        Sender sender = senders.get(name);
+        if (sender != null) {
+            sender.idle = Math.max(0, sender.idle - 1);
+        }
+    }
+
+    /** A sender tells over what time its clients are to connect anew, in ms. */
+    public void window(long nowMs, String name, long windowMs) {
+        at(nowMs);
+        Sender sender = senders.get(name);
+        if (sender != null && windowMs >= 0) {
+            sender.toldWindowMs = Math.min(windowMs, rules.mostSpreadMs());
+        }
+    }
+
+    /**
+     * What became of a hand-in. {@code stays}: its connection can be used again; {@code inOrder}: if not, the sender said that
+     * it closes. One that is not waited for any more is passed over.
+     */
+    public void heard(long nowMs, long number, int attempt, Heard heard, boolean stays, boolean inOrder) {
+        at(nowMs);
+        Item item = orders.get(number);
+        if (item == null || item.at == null || item.attempts != attempt) {
+            return;
+        }
+        Sender sender = item.at;
+        double took = now - item.sentMs;
+        int outBefore = out.size();
+        unsend(item, stays);
+        if (!stays) {
+            if (inOrder) {
+                sender.drainingUntilMs = now + rules.drainMs();
+            }
+            lost(sender);
+        }
+        settle(item, sender, heard, took, outBefore);
+        pump();
+    }
+
+    /**
+     * The end of a hand-in that was taken, as the sender tells it; {@code end}: delivered, refused or failed. Of an earlier
+     * hand-in than the last only a delivery counts: the last one may run still.
+     */
+    public void ended(long nowMs, long number, int attempt, End end) {
+        at(nowMs);
+        Item item = orders.get(number);
+        if (item == null || attempt != item.attempts && !(end instanceof End.Delivered)) {
+            return;
+        }
+        if (end instanceof End.Refused refused && !item.over) {
+            if (item.at != null) {
+                actions.abandon(number, item.attempts);
+                Sender sender = item.at;
+                unsend(item, false);
+                lost(sender);
+            }
+            item.taken = false;
+            move(item, item.deadlineMs);
+            item.firstMs = item.firstBeforeMs;
+            item.again = Again.REFUSED;
+            item.lastWhy = refused.why();
+            ready.remove(item);
+            parked.remove(item);
+            again(item, now + Math.max(refused.comeBackMs(), pause(item)), refused);
+        } else if (item.at != null && !item.over) {
+            // Its 202 is on its way still: the connection is free when that has come.
+            item.over = true;
+            live.remove(item);
+            actions.end(number, end);
+        } else if (!item.over) {
+            end(item, end);
+        }
+        pump();
+    }
+
+    /** The time has come that {@link #nextMs} told. */
+    public void tick(long nowMs) {
+        at(nowMs);
+        pump();
+    }
+
+    /** Ends all that has no end yet; what is submitted from now on ends at once. */
+    public void close(long nowMs) {
+        at(nowMs);
+        closed = true;
+        for (Item item : List.copyOf(live)) {
+            if (item.at != null) {
+                actions.abandon(item.number, item.attempts);
+            }
+            end(item, over(item, "the client is closed"));
+        }
+    }
+
+    /** When {@link #tick} has something to do, if nothing is told before; never: {@link Long#MAX_VALUE}. */
+    public long nextMs() {
+        long next = Long.MAX_VALUE;
+        if (closed) {
+            return next;
+        }
+        if (!live.isEmpty()) {
+            next = Math.min(next, live.first().endMs);
+        }
+        if (!out.isEmpty()) {
+            next = Math.min(next, out.first().answerMs);
+        }
+        if (!parked.isEmpty()) {
+            next = Math.min(next, parked.first().notBeforeMs);
+        }
+        for (Sender s : senders.values()) {
+            if (s.listed && s.state == Sender.State.AWAY) {
+                next = Math.min(next, s.connectMs);
+            }
+            if (!ready.isEmpty()) {
+                next = Math.min(next, opensMs(s));
+            }
+        }
+        return next;
+    }
+
+    /** Orders without an end. */
+    public int open() {
+        return live.size();
+    }
+
+    /** Hand-ins out, and how many there may be. */
+    public int out() {
+        return out.size();
+    }
+
+    /** How many hand-ins may be out now. */
+    public int level() {
+        return level.level();
+    }
+
+    // ---- what it decides ----
+
+    /** When something changes at this sender for orders that are ready: a time after now. */
+    private long opensMs(Sender s) {
+        long next = Long.MAX_VALUE;
+        for (long at : new long[] {s.ejectedUntilMs, s.drainingUntilMs, senderWaits.until(s.name),
+                s.state == Sender.State.UP && s.connections() < rules.mostConnections() ? s.connectMs : 0}) {
+            if (at > now) {
+                next = Math.min(next, at);
+            }
+        }
+        return next;
+    }
+
+    private void pump() {
+        if (pumping || closed) {
+            return;
+        }
+        pumping = true;
+        try {
+            expire();
+            connect();
+            while (!parked.isEmpty() && parked.first().notBeforeMs <= now) {
+                ready.add(parked.pollFirst());
+            }
+            handIn();
+        } finally {
+            pumping = false;
+        }
+    }
+
+    private void expire() {
+        while (!out.isEmpty() && out.first().answerMs <= now) {
+            Item item = out.first();
+            Sender sender = item.at;
+            actions.abandon(item.number, item.attempts);
+            int outBefore = out.size();
+            unsend(item, false);
+            lost(sender);
+            settle(item, sender, Heard.lost("no answer from " + sender.name + " in " + (now - item.sentMs) + " ms"),
+                    now - item.sentMs, outBefore);
+        }
+        while (!live.isEmpty() && live.first().endMs <= now) {
+            Item item = live.first();
+            if (item.at != null) {
+                actions.abandon(item.number, item.attempts);
+                Sender sender = item.at;
+                unsend(item, false);
+                lost(sender);
+                item.firstBeforeMs = item.firstMs;
+            }
+            end(item, over(item, item.lastWhy.isEmpty() ? "its time is over" : "its time is over; " + item.lastWhy));
+        }
+    }
+
+    /** Its end, where nobody tells one. */
+    private static End over(Item item, String why) {
+        return item.taken ? new End.Unknown(true, why + "; a sender has it")
+                : item.firstMs >= 0 ? new End.Unknown(false, why) : new End.Failed(false, why);
+    }
+
+    private void connect() {
+        for (Sender s : senders.values()) {
+            if (s.listed && s.state == Sender.State.AWAY && s.connectMs <= now) {
+                s.state = Sender.State.TRIAL;
+                s.connecting++;
+                actions.connect(s.name, true);
+            }
+        }
+    }
+
+    private void handIn() {
+        List<Item> later = new ArrayList<>();
+        while (!ready.isEmpty() && out.size() < level.level()) {
+            Item item = ready.first();
+            long waitMs = Math.max(destinationWaits.until(item.destination), tenantWaits.until(item.tenant));
+            if (waitMs > now) {
+                ready.remove(item);
+                park(item, waitMs, new End.Refused(waitMs - now, "told to wait; " + item.lastWhy));
+                continue;
+            }
+            long until = Resends.until(item.rule, rules, now, item.deadlineMs, item.firstMs);
+            if (until == Resends.NEVER) {
+                ready.remove(item);
+                end(item, over(item, "too late to hand it in again; " + item.lastWhy));
+                continue;
+            }
+            Sender sender = pick();
+            if (sender == null) {
+                break;
+            }
+            if (item.attempts > 0 && !budget.take(now)) {
+                ready.remove(item);
+                item.notBeforeMs = budget.nextMs(now);
+                later.add(item);
+                continue;
+            }
+            ready.remove(item);
+            send(item, sender, until);
+        }
+        parked.addAll(later);
+        if (!ready.isEmpty()) {
+            turnAwayThoseWhoCannotWait();
+        }
+    }
+
+    private void send(Item item, Sender sender, long until) {
+        if (item.attempts == 0) {
+            budget.first();
+        }
+        item.attempts++;
+        item.at = sender;
+        item.sentMs = now;
+        item.firstBeforeMs = item.firstMs;
+        item.firstMs = item.firstMs >= 0 ? item.firstMs : now;
+        item.answerMs = Math.min(now + rules.answerMs(), item.endMs);
+        out.add(item);
+        sender.idle--;
+        sender.busy++;
+        actions.handIn(item.number, item.attempts, sender.name, until - now, item.again);
+    }
+
+    /** The less loaded of two (Mitzenmacher 2001, "The power of two choices"), of those with an idle connection. */
+    private Sender pick() {
+        List<Sender> usable = new ArrayList<>();
+        List<Sender> leftAlone = new ArrayList<>();
+        for (Sender s : senders.values()) {
+            if (s.serves(now) && senderWaits.until(s.name) <= now) {
+                (s.ejected(now) ? leftAlone : usable).add(s);
+            }
+        }
+        if (usable.isEmpty() && !leftAlone.isEmpty()) {
+            // Left alone is better than none: the one whose time is over first.
+            usable.add(leftAlone.stream().min(Comparator.comparingLong(s -> s.ejectedUntilMs)).orElseThrow());
+        }
+        for (Sender s : usable) {
+            grow(s);
+        }
+        usable.removeIf(s -> s.idle == 0);
+        if (usable.size() <= 1) {
+            return usable.isEmpty() ? null : usable.get(0);
+        }
+        int first = random.nextInt(usable.size());
+        int second = random.nextInt(usable.size() - 1);
+        Sender a = usable.get(first);
+        Sender b = usable.get(second >= first ? second + 1 : second);
+        return a.load(now, rules.returnMs()) <= b.load(now, rules.returnMs()) ? a : b;
+    }
+
+    /** Opens a further connection where all are busy: after a return one by one over the window, then as needed. */
+    private void grow(Sender s) {
+        boolean refilling = now - s.backMs < window(s);
+        int atOnce = refilling ? 1 : MOST_CONNECTING;
+        if (s.idle == 0 && s.connections() < rules.mostConnections() && s.connecting < atOnce && now >= s.connectMs
+                && s.connecting < ready.size()) {
+            s.connecting++;
+            s.connectMs = refilling ? now + refillMs(s) : now;
+            actions.connect(s.name, false);
+        }
+    }
+
+    private long window(Sender s) {
+        return s.toldWindowMs >= 0 ? s.toldWindowMs : rules.spreadMs();
+    }
+
+    private long refillMs(Sender s) {
+        return window(s) / rules.mostConnections();
+    }
+
+    /** Where every sender has told a wait, an order whose time is over before the first of them ends at once. */
+    private void turnAwayThoseWhoCannotWait() {
+        long opens = Long.MAX_VALUE;
+        for (Sender s : senders.values()) {
+            if (!s.listed) {
+                continue;
+            }
+            if (!s.serves(now) || senderWaits.until(s.name) <= now) {
+                // Away, or about to drain: when it serves again nobody told.
+                return;
+            }
+            opens = Math.min(opens, senderWaits.until(s.name));
+        }
+        while (opens != Long.MAX_VALUE && !ready.isEmpty() && ready.first().deadlineMs - rules.leastBudgetMs() < opens) {
+            Item item = ready.pollFirst();
+            end(item, item.firstMs >= 0 ? over(item, "every sender told to wait; " + item.lastWhy)
+                    : new End.Refused(opens - now, "every sender told to wait; " + item.lastWhy));
+        }
+    }
+
+    /** The hand-in is out no more. */
+    private void unsend(Item item, boolean stays) {
+        out.remove(item);
+        Sender sender = item.at;
+        item.at = null;
+        sender.busy--;
+        if (stays) {
+            sender.idle++;
+        }
+    }
+
+    /** A connection is gone: where it was the last, the next one is planned. */
+    private void lost(Sender sender) {
+        if (sender.connections() > 0) {
+            return;
+        }
+        if (!sender.listed) {
+            senders.remove(sender.name);
+            return;
+        }
+        sender.state = Sender.State.AWAY;
+        sender.connectMs = Math.max(sender.drainingUntilMs, now)
+                + Spread.delay(rules, window(sender), sender.failures, random);
+    }
+
+    private void settle(Item item, Sender sender, Heard heard, double took, int outBefore) {
+        item.lastWhy = heard.why();
+        if (heard.kind() == Heard.Kind.REFUSED && heard.waitMs() > 0) {
+            toldToWait(item, sender, heard);
+        }
+        if (item.over) {
+            orders.remove(item.number);
+            return;
+        }
+        switch (heard.kind()) {
+            case TAKEN -> {
+                answered(sender);
+                level.answered(now, took, outBefore);
+                item.fruitless = 0;
+                item.taken = true;
+                if (rules.follows()) {
+                    move(item, item.deadlineMs + rules.graceMs());
+                } else {
+                    end(item, new End.Taken(sender.name));
+                }
+            }
+            case REFUSED -> {
+                answered(sender);
+                item.firstMs = item.firstBeforeMs;
+                item.again = Again.REFUSED;
+                long until = now + heard.waitMs();
+                if (heard.scope() == Heard.Scope.SENDER) {
+                    level.pushedBack(now);
+                }
+                End refused = new End.Refused(heard.waitMs(), heard.why());
+                boolean elsewhere = heard.scope() == Heard.Scope.SENDER && otherThan(sender);
+                again(item, elsewhere ? now : heard.waitMs() > 0 ? until : now + pause(item), refused);
+            }
+            case REJECTED -> {
+                answered(sender);
+                item.firstMs = item.firstBeforeMs;
+                end(item, item.firstMs >= 0 ? new End.Unknown(false, heard.why()) : new End.Failed(false, heard.why()));
+            }
+            case UNSENT -> {
+                unanswered(sender);
+                item.firstMs = item.firstBeforeMs;
+                again(item, now + pause(item), new End.Failed(false, heard.why()));
+            }
+            case LOST -> {
+                unanswered(sender);
+                level.pushedBack(now);
+                item.again = Again.UNHEARD;
+                again(item, now + pause(item), new End.Unknown(false, heard.why()));
+            }
+        }
+    }
+
+    private void toldToWait(Item item, Sender sender, Heard heard) {
+        long until = now + heard.waitMs();
+        switch (heard.scope()) {
+            case SENDER -> senderWaits.told(now, sender.name, until);
+            case DESTINATION -> destinationWaits.told(now, item.destination, until);
+            case TENANT -> tenantWaits.told(now, item.tenant, until);
+        }
+    }
+
+    private boolean otherThan(Sender sender) {
+        for (Sender s : senders.values()) {
+            if (s != sender && s.serves(now) && !s.ejected(now) && senderWaits.until(s.name) <= now) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static void answered(Sender sender) {
+        sender.unanswered = 0;
+        sender.ejections = 0;
+    }
+
+    private void unanswered(Sender sender) {
+        if (++sender.unanswered >= rules.ejectAfter()) {
+            sender.unanswered = 0;
+            long ms = Math.min(rules.mostEjectMs(), rules.ejectMs() << Math.min(MOST_DOUBLINGS, sender.ejections));
+            sender.ejections++;
+            sender.ejectedUntilMs = now + ms;
+            sender.backMs = sender.ejectedUntilMs;
+        }
+    }
+
+    /** Half of a doubled pause, and as much again by chance. */
+    private long pause(Item item) {
+        long whole = Math.min(rules.mostPauseMs(), rules.pauseMs() << Math.min(MOST_DOUBLINGS, item.fruitless));
+        item.fruitless++;
+        return whole / 2 + random.nextLong(whole / 2 + 1);
+    }
+
+    /** It is handed in again at this time, where it may; else this is its end, now and not later. */
+    private void again(Item item, long atMs, End otherwise) {
+        if (item.cancelled) {
+            end(item, item.firstMs >= 0 ? new End.Unknown(false, "cancelled; " + item.lastWhy)
+                    : new End.Failed(false, "cancelled"));
+            return;
+        }
+        park(item, atMs, otherwise);
+    }
+
+    private void park(Item item, long atMs, End otherwise) {
+        if (Resends.until(item.rule, rules, Math.max(now, atMs), item.deadlineMs, item.firstMs) == Resends.NEVER) {
+            end(item, item.firstMs >= 0 ? over(item, item.lastWhy) : otherwise);
+        } else if (atMs <= now) {
+            ready.add(item);
+        } else {
+            item.notBeforeMs = atMs;
+            parked.add(item);
+        }
+    }
+
+    private void move(Item item, long endMs) {
+        live.remove(item);
+        item.endMs = endMs;
+        live.add(item);
+    }
+
+    private void end(Item item, End end) {
+        if (orders.remove(item.number) == null) {
+            return;
+        }
+        live.remove(item);
+        ready.remove(item);
+        parked.remove(item);
+        if (item.at != null) {
+            out.remove(item);
+            item.at.busy--;
+            item.at = null;
+        }
+        actions.end(item.number, end);
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/client/decide/Spread.java
@@ -0,0 +1,30 @@
+package slipfield.client.decide;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * When a lost connection is made anew: drawn over a window, so that a thousand clients of a sender that came back do not
+ * connect in one moment. A few draw from its first tenth: they find out whether it is back. (AWS Architecture Blog,
+ * "Exponential Backoff and Jitter", full jitter.)
+ */
+final class Spread {
+    private static final int MOST_DOUBLINGS = 10;
+    private static final double HEAD = 0.1;
+
+    private Spread() {
+    }
+
+    /**
+     * The pause before the next connect, in ms.
+     *
+     * @param windowMs the sender's, or the client's own
+     * @param failures connects that failed in a row
+     */
+    static long delay(Rules rules, long windowMs, int failures, RandomGenerator random) {
+        double window = Math.min(rules.mostSpreadMs(),
+                Math.max(windowMs, failures > 0 ? rules.pauseMs() : 0) * Math.pow(2, Math.min(MOST_DOUBLINGS, failures)));
+        boolean trial = random.nextDouble() < rules.trialShare();
+        double at = trial ? HEAD * random.nextDouble() : HEAD + (1 - HEAD) * random.nextDouble();
+        return (long) (window * at);
+    }
+}
--- a/src/test/java/slipfield/ArchitectureTest.java
+++ b/src/test/java/slipfield/ArchitectureTest.java
@@ -18,7 +18,8 @@
 
     @ArchTest
     static final ArchRule DECISIONS_ARE_PURE = noClasses()
-            .that().resideInAnyPackage("slipfield.policy", "slipfield.recovery", "slipfield.admission")
+            .that().resideInAnyPackage("slipfield.policy", "slipfield.recovery", "slipfield.admission",
+                    "slipfield.membership", "slipfield.client.decide")
             .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..",
                     "io.netty..")
             .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
@@ -44,6 +45,17 @@
             .should().dependOnClassesThat().resideInAnyPackage("slipfield.cli..", "slipfield.standin..", "picocli..",
                     "org.HdrHistogram..");
 
+    /** It stands in a jar of its own. */
+    @ArchTest
+    static final ArchRule A_CLIENT_KNOWS_NO_SENDER = classes().that().resideInAPackage("slipfield.client..")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("slipfield.client..", "java..", "io.netty..",
+                    "com.fasterxml.jackson..", "org.slf4j..", "org.snakeyaml..");
+
+    @ArchTest
+    static final ArchRule THE_SENDER_KNOWS_NO_CLIENT = noClasses()
+            .that().resideOutsideOfPackages("slipfield.client..", "slipfield.cli..", "slipfield.standin..")
+            .should().dependOnClassesThat().resideInAPackage("slipfield.client..");
+
     @ArchTest
     static final ArchRule NO_CYCLES = slices().matching("slipfield.(**)").should().beFreeOfCycles();
 }
--- /dev/null
+++ b/src/test/java/slipfield/client/AnswersTest.java
@@ -0,0 +1,80 @@
+package slipfield.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import slipfield.client.decide.Heard;
+
+/** What is read of a sender's answer, whatever stands in it. */
+class AnswersTest {
+    /** Thu, 01 Jan 2026 00:00:00 GMT. */
+    private static final long WALL_MS = 1_767_225_600_000L;
+
+    private static FullHttpResponse answer(int status, String... headers) {
+        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
+                Unpooled.copiedBuffer("reason\nmore", StandardCharsets.US_ASCII));
+        for (int i = 0; i < headers.length; i += 2) {
+            answer.headers().set(headers[i], headers[i + 1]);
+        }
+        return answer;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 1000", "0.25, 250", "1e9, 1000000000000", "1e300, 1000000000000", "Infinity, 1000000000000", "-5, 0", "NaN, 0",
+        "'', 0", "soon, 0", "'Thu, 01 Jan 2026 00:00:30 GMT', 30000", "'Wed, 31 Dec 2025 00:00:00 GMT', 0",
+        "'Fri, 01 Jan 9999 00:00:00 GMT', 1000000000000", "1;2, 0"})
+    void aWaitIsReadOrTellsNothing(String text, long ms) {
+        assertEquals(ms, Answers.waitMs(text, WALL_MS));
+        Heard heard = Answers.heard(answer(503, "Retry-After", text), WALL_MS);
+        assertEquals(Heard.Kind.REFUSED, heard.kind());
+        assertEquals(ms, heard.waitMs());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"202, TAKEN", "200, TAKEN", "429, REFUSED", "503, REFUSED", "400, REJECTED", "404, REJECTED", "405, REJECTED",
+        "413, REJECTED", "408, UNSENT", "409, LOST", "500, LOST", "504, LOST", "302, LOST", "201, LOST"})
+    void aStatusProvesWhatTheProtocolSays(int status, Heard.Kind kind) {
+        assertEquals(kind, Answers.heard(answer(status), WALL_MS).kind());
+    }
+
+    @Test
+    void aScopeThatIsNotKnownIsTheSenders() {
+        assertEquals(Heard.Scope.TENANT, Answers.heard(answer(503, "X-Wait-Scope", "Tenant"), 0).scope());
+        assertEquals(Heard.Scope.DESTINATION, Answers.heard(answer(503, "X-Wait-Scope", "destination"), 0).scope());
+        assertEquals(Heard.Scope.SENDER, Answers.heard(answer(503, "X-Wait-Scope", "galaxy"), 0).scope());
+        assertEquals(Heard.Scope.SENDER, Answers.heard(answer(503), 0).scope());
+        assertEquals("503 reason", Answers.heard(answer(503), 0).why());
+    }
+
+    @Test
+    void aWindowIsANumberOrNone() {
+        assertEquals(1500, Answers.window(answer(200, "X-Reconnect-Within-Ms", "1500")));
+        assertEquals(-1, Answers.window(answer(200, "X-Reconnect-Within-Ms", "-1500")));
+        assertEquals(-1, Answers.window(answer(200, "X-Reconnect-Within-Ms", "99999999999")));
+        assertEquals(-1, Answers.window(answer(200)));
+    }
+
+    @Test
+    void aFileOfSendersIsReadOrNamedWithTheMend() {
+        Path file = Path.of("senders.yaml");
+        assertEquals(List.of(new InetSocketAddress("127.0.0.1", 7070), new InetSocketAddress("127.0.0.2", 7071)),
+                SenderFile.read(file, "senders:\n  - 127.0.0.1:7070\n  - 127.0.0.2:7071\n"));
+        for (String wrong : List.of("", "senders: x", "senders: [localhost:1]", "senders: [127.0.0.1]", "a: [", "sender: []",
+                "senders: []\nmore: 1")) {
+            String told = assertThrows(IllegalArgumentException.class, () -> SenderFile.read(file, wrong)).getMessage();
+            assertEquals("senders.yaml", told.substring(0, 12));
+        }
+    }
+}
