--- a/src/main/java/slipfield/admission/Admission.java
+++ b/src/main/java/slipfield/admission/Admission.java
@@ -45,32 +45,35 @@
         this.mostHeld = mostHeld;
     }
 
-    /** Taken on, or refused for a reason; a refused client may come back after so long, 0 if not known. */
-    public record Verdict(boolean taken, String reason, long waitMs) {
-        private static final Verdict TAKEN = new Verdict(true, "", 0);
+    /**
+     * Taken on, or refused for a reason; a refused client may come back after so long, 0 if not known; {@code
+     * destination}: that is so of this destination alone.
+     */
+    public record Verdict(boolean taken, String reason, long waitMs, boolean destination) {
+        private static final Verdict TAKEN = new Verdict(true, "", 0, false);
     }
 
     /** Whether a message for this destination, with so much time left, is taken on while so many are held. */
     public Verdict admit(double now, long destination, double leftMs, int held) {
         if (held >= mostHeld) {
-            return refused("as many messages are held as may be", waitFor(now, held - mostHeld + 1));
+            return refused("as many messages are held as may be", waitFor(now, held - mostHeld + 1), false);
         }
         if (isLate(now) && (late >= LATE_MS || leftMs < LEAST_LEFT_MS)) {
-            return refused("the sender is behind", late);
+            return refused("the sender is behind", late, false);
         }
         Work work = works.get(destination);
         if (work != null && work.waiting >= FEW) {
             double rate = work.perMs(now);
             if (rate > 0 && work.waiting / rate > leftMs) {
                 return refused("more waits for this dest than it takes in that time",
-                        work.waiting / rate - leftMs);
+                        work.waiting / rate - leftMs, true);
             }
         }
         return Verdict.TAKEN;
     }
 
-    private static Verdict refused(String reason, double waitMs) {
-        return new Verdict(false, reason, (long) Math.ceil(Math.max(waitMs, LEAST_WAIT_MS)));
+    private static Verdict refused(String reason, double waitMs, boolean destination) {
+        return new Verdict(false, reason, (long) Math.ceil(Math.max(waitMs, LEAST_WAIT_MS)), destination);
     }
 
     /** When so many of those held will have ended, at the pace of them all. */
--- a/src/main/java/slipfield/client/Client.java
+++ b/src/main/java/slipfield/client/Client.java
@@ -45,6 +45,7 @@
     private static final long CLOSE_S = 5;
 
     private final ClientSettings settings;
+    private final Observer observer;
     private final EventLoopGroup ownGroup;
     private final EventLoop loop;
     private final Bootstrap bootstrap;
@@ -75,19 +76,32 @@
         }
     }
 
+    /** Told of a client's connections, on its loop; a desk may count them. */
+    public interface Observer {
+        /** One stands, and its sender is ready. */
+        default void connected(String sender) {
+        }
+
+        /** One was lost, or never came up. */
+        default void lost(String sender, String why) {
+        }
+    }
+
     /** A client with a thread of its own. */
     public Client(ClientSettings settings) {
-        this(settings, new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("slipfield-client", true),
+        this(settings, new Observer() {
+        }, new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("slipfield-client", true),
                 NioIoHandler.newFactory()), true);
     }
 
     /** One of several on the same threads, which it does not end. */
-    public Client(ClientSettings settings, EventLoopGroup group) {
-        this(settings, group, false);
+    public Client(ClientSettings settings, EventLoopGroup group, Observer observer) {
+        this(settings, observer, group, false);
     }
 
-    private Client(ClientSettings settings, EventLoopGroup group, boolean own) {
+    private Client(ClientSettings settings, Observer observer, EventLoopGroup group, boolean own) {
         this.settings = settings;
+        this.observer = observer;
         this.ownGroup = own ? group : null;
         this.loop = group.next();
         this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
@@ -304,6 +318,7 @@
 
         private void ready(Link link) {
             free(link);
+            observer.connected(link.sender);
             courier.connected(now(), link.sender);
             if (follower != null) {
                 follower.up(link.sender);
@@ -337,6 +352,7 @@
 
         @Override
         public void gone(Link link, boolean written, String why) {
+            observer.lost(link.sender, why);
             if (out != null) {
                 long number = out;
                 out = null;
--- a/src/main/java/slipfield/config/Config.java
+++ b/src/main/java/slipfield/config/Config.java
@@ -22,9 +22,11 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
               int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double dialMs,
-              Optional<JsonNode> known, Optional<Path> members) {
+              Optional<JsonNode> known, Optional<Path> members, Optional<Path> clients) {
     /** Names the operator's file of further sources of endpoints, if any. */
     private static final String MEMBERS = "SLIPFIELD_MEMBERS";
+    /** Names the operator's file of what is done for clients, if any. */
+    private static final String CLIENTS = "SLIPFIELD_CLIENTS";
     /** The journal is read in one piece at the start and files count as memory: more is never used. */
     private static final double MOST_DISK_MB = 12;
 
@@ -53,7 +55,11 @@
                 settings.numberOr("limits.dial_timeout_ms", 1000),
                 json.path("known").path("instances").isArray()
                         ? Optional.of(json.path("known")) : Optional.empty(),
-                Optional.ofNullable(env.get(MEMBERS)).filter(file -> !file.isEmpty()).map(Path::of));
+                file(env, MEMBERS), file(env, CLIENTS));
+    }
+
+    private static Optional<Path> file(Map<String, String> env, String name) {
+        return Optional.ofNullable(env.get(name)).filter(file -> !file.isEmpty()).map(Path::of);
     }
 
     /** An address as {@code 10.0.0.4:7070}; there is no DNS, so a host name is an error. */
--- a/src/main/java/slipfield/core/Desk.java
+++ b/src/main/java/slipfield/core/Desk.java
@@ -1,26 +1,30 @@
 package slipfield.core;
 
+import java.util.List;
 import java.util.Optional;
 import slipfield.journal.Claim;
 import slipfield.journal.Held;
 
 /** Where fronts hand messages in. Called on the core's thread. */
 public interface Desk {
-    /** What a client asks to be delivered, and who has to hear of its end. */
+    /** What a client asks to be delivered, and who has to hear of its end: one claimant at least. */
     record Submission(String id, String messageClass, String tenant, Optional<String> key, long destination,
-                      long budgetMs, byte[] body, Claim claim) {
+                      long budgetMs, byte[] body, List<Claim> claims) {
     }
 
-    /** What became of a submission: it is held, or refused, with the time to come back after in ms, or 0. */
-    record Taking(Optional<Held> held, String reason, long waitMs) {
+    /**
+     * What became of a submission: it is held, or refused, with the time to come back after in ms, or 0; {@code
+     * destination}: that time holds for its destination alone.
+     */
+    record Taking(Optional<Held> held, String reason, long waitMs, boolean destination) {
         /** It is held. */
         public static Taking taken(Held held) {
-            return new Taking(Optional.of(held), "", 0);
+            return new Taking(Optional.of(held), "", 0, false);
         }
 
         /** It is refused. */
         public static Taking refused(String reason, long waitMs) {
-            return new Taking(Optional.empty(), reason, waitMs);
+            return new Taking(Optional.empty(), reason, waitMs, false);
         }
     }
 
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -681,10 +681,11 @@
             leftMs -= admission.isLate(now()) ? UNREAD_LATE_MS : Math.min(UNREAD_MS, leftMs / 2);
             Admission.Verdict verdict = admission.admit(now(), s.destination(), leftMs, open.size());
             if (!verdict.taken()) {
-                return Taking.refused(verdict.reason(), verdict.waitMs());
+                return new Taking(Optional.empty(), verdict.reason(), verdict.waitMs(), verdict.destination());
             }
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
-                    s.destination(), life.wallMs() + leftMs, s.body(), s.claim());
+                    s.destination(), life.wallMs() + leftMs, s.body(), s.claims().get(0));
+            held.claims.addAll(s.claims().subList(1, s.claims().size()));
             // Its end writes what is collected, whatever becomes of this message.
             openTurn();
             try {
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import slipfield.agent.Agent;
 import slipfield.config.BadInput;
@@ -26,6 +27,8 @@
 import slipfield.journal.Owed;
 import slipfield.log.Log;
 import slipfield.outcome.Notices;
+import slipfield.outcome.ends.ClientsConfig;
+import slipfield.outcome.ends.Ends;
 import slipfield.trace.Trace;
 import slipfield.transport.http.Endpoints;
 
@@ -53,6 +56,9 @@
     private Intake intake;
     /** Absent unless the operator has named a file of sources: no class of them is loaded without. */
     private Members members;
+    /** Absent unless the operator's file of clients is set. */
+    private ClientsConfig clients;
+    private Ends ends;
 
     /** As the program runs it. */
     public Daemon(Config config) {
@@ -91,6 +97,9 @@
         if (config.members().isPresent()) {
             members = Members.read(config.members().get(), config.state());
         }
+        if (config.clients().isPresent()) {
+            clients = ClientsConfig.read(config.clients().get());
+        }
         InetSocketAddress address = sender.start().get(0);
         if (members != null) {
             members.listening(address);
@@ -157,7 +166,11 @@
     @Override
     public Map<String, Outcome> outcomes(EventLoop loop, Consumer<Owed> heard) {
         notices = new Notices(loop, () -> new Agent(loop, agentAddress), heard);
-        return Map.of(Claim.PLATFORM.outcome(), notices);
+        if (clients == null || clients.ends().isEmpty()) {
+            return Map.of(Claim.PLATFORM.outcome(), notices);
+        }
+        ends = new Ends(loop, clients.ends().get(), Long.toHexString(System.currentTimeMillis()), heard);
+        return Map.of(Claim.PLATFORM.outcome(), notices, Ends.NAME, ends);
     }
 
     @Override
@@ -172,7 +185,8 @@
 
     @Override
     public List<Front> fronts(EventLoop loop, Desk desk) {
-        intake = new Intake(loop, config.listen(), mostClients, desk);
+        intake = new Intake(loop, config.listen(), mostClients, desk, clients == null ? Intake.Hints.NONE
+                : new Intake.Hints(clients.reconnectMs(), clients.waitScope(), Optional.ofNullable(ends)));
         return List.of(intake);
     }
 
--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -2,14 +2,12 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -17,22 +15,20 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -47,10 +43,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Pattern;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
 import slipfield.core.Desk;
+import slipfield.core.Follow;
 import slipfield.core.Front;
 import slipfield.journal.Claim;
 import slipfield.journal.Held;
@@ -68,11 +64,6 @@
  */
 public final class Intake implements Front {
     private static final int LONGEST_BODY = 64 * 1024;
-    /** Between the parts of an envelope. */
-    private static final Pattern ENVELOPE = Pattern.compile("[,;\\s]+");
-    private static final String DESTINATION = "dest=";
-    /** The id goes into the journal and on to endpoints; one that is longer is no id. */
-    private static final int LONGEST_ID = 256;
     /** From connecting, or from a later request's first byte, until the request is whole. */
     private static final long REQUEST_MS = 2000;
     /** A connection between requests is kept for so long, lest those that ask once keep the others out. */
@@ -80,6 +71,8 @@
     /** From the answer to what is too long until the close: closing at once could reset it unread. */
     private static final long LINGER_MS = 500;
     private static final long SWEEP_MS = 200;
+    /** One in so many connections may follow ends. */
+    private static final int FOLLOWERS = 4;
     /**
      * Share of the connections that may stand between requests; beyond it the one that stood longest is closed.
      * Guards against clients that ask once on each connection and keep it: those who hand in messages have a
@@ -100,6 +93,8 @@
 
     private final EventLoop loop;
     private final Desk desk;
+    private final Hints hints;
+    private final Reading reading;
     private final InetSocketAddress address;
     private final int mostClients;
     /** The connections in each state, those that are in it longest first. */
@@ -120,8 +115,27 @@
     private record Pending(Client client, ChannelHandlerContext ctx, Object bytes) {
     }
 
+    /**
+     * What clients are told besides the protocol.
+     *
+     * @param reconnectMs over what time they are to connect anew; negative: nothing
+     * @param waitScope whether a refusal tells what its wait holds for
+     * @param follow where ends are asked for; absent: nowhere
+     */
+    public record Hints(long reconnectMs, boolean waitScope, Optional<Follow> follow) {
+        /** The protocol alone. */
+        public static final Hints NONE = new Hints(-1, false, Optional.empty());
+    }
+
     /** Will listen at this address, with so many connections of clients at most. */
     public Intake(EventLoop loop, InetSocketAddress address, int mostClients, Desk desk) {
+        this(loop, address, mostClients, desk, Hints.NONE);
+    }
+
+    /** The same with further words to clients. */
+    public Intake(EventLoop loop, InetSocketAddress address, int mostClients, Desk desk, Hints hints) {
+        this.hints = hints;
+        this.reading = new Reading(desk, hints.follow());
         this.address = address;
         this.loop = loop;
         this.desk = desk;
@@ -189,6 +203,7 @@
     @Override
     public void close() {
         closing = true;
+        hints.follow().ifPresent(Follow::release);
         try {
             listener.acceptRestAndClose();
         } catch (Exception e) {
@@ -283,6 +298,7 @@
                 case ENDING -> LINGER_MS;
                 case SILENT, ASKING -> REQUEST_MS;
                 case VISITING, IDLE -> closing ? Long.MAX_VALUE : IDLE_MS;
+                case FOLLOWING -> Long.MAX_VALUE;
             };
             members.stream().takeWhile(c -> TimeUnit.NANOSECONDS.toMillis(now - c.since) >= limitMs).toList()
                     .forEach(Client::outOfTime);
@@ -299,6 +315,8 @@
         VISITING,
         /** Between requests, after a message. */
         IDLE,
+        /** Waits for the ends of its messages. */
+        FOLLOWING,
         /** A later request has come in part. */
         ASKING
     }
@@ -332,27 +350,6 @@
         }
     }
 
-    /**
-     * Turns away a request whose length can be read in two ways, or in none: what one reader takes for its
-     * body may be another request to the next reader.
-     */
-    private static final class Framing extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object part) {
-            if (part instanceof HttpRequest request) {
-                List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-                boolean plain = codings.isEmpty() || codings.size() == 1
-                        && codings.get(0).equalsIgnoreCase(HttpHeaderValues.CHUNKED.toString())
-                        && request.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                        && !request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-                if (!plain && request.decoderResult().isSuccess()) {
-                    request.setDecoderResult(DecoderResult.failure(new BadInput("the length is not clear")));
-                }
-            }
-            ctx.fireChannelRead(part);
-        }
-    }
-
     /** Collects bodies; a longer one is answered 413, and what the client still sends is not read. */
     private static final class Bodies extends HttpObjectAggregator {
         private final Client client;
@@ -381,6 +378,8 @@
         private boolean customer;
         /** Reads that were not looked at yet: there may be a whole request in them. */
         private int unread;
+        /** FOLLOWING: what it waits for. */
+        private Follow.Asked asked;
 
         Client(Channel channel) {
             this.channel = channel;
@@ -429,6 +428,10 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             clients.get(state).remove(this);
+            if (asked != null) {
+                asked.cancel();
+                asked = null;
+            }
         }
 
         private void enter(State next) {
@@ -493,7 +496,14 @@
             if (request.decoderResult().isFailure()) {
                 last(HttpResponseStatus.BAD_REQUEST, "not HTTP");
             } else if (path.equals("/healthz")) {
-                end(request, desk.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                FullHttpResponse health = answer(desk.ready() ? HttpResponseStatus.OK
+                        : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
+                if (hints.reconnectMs() >= 0) {
+                    health.headers().set("X-Reconnect-Within-Ms", hints.reconnectMs());
+                }
+                end(request, health);
+            } else if (path.equals("/ends") && hints.follow().isPresent()) {
+                follow(request, hints.follow().get());
             } else if (!desk.knowsClass(path.split("/", 3).length > 1 ? path.split("/", 3)[1] : "")) {
                 end(request, HttpResponseStatus.NOT_FOUND, "no such path");
             } else if (!request.method().equals(HttpMethod.POST)) {
@@ -506,7 +516,7 @@
         private void handIn(FullHttpRequest request, String path) {
             Desk.Submission submission;
             try {
-                submission = read(request, path.split("/", 3)[1]);
+                submission = reading.read(request, path.split("/", 3)[1]);
             } catch (BadInput bad) {
                 end(request, HttpResponseStatus.BAD_REQUEST, bad.getMessage());
                 return;
@@ -516,7 +526,10 @@
             if (awaited(this, id)) {
                 settle();
             }
-            Optional<Desk.Known> before = desk.before(id, submission.claim());
+            Optional<Desk.Known> before = Optional.empty();
+            for (Claim claim : submission.claims()) {
+                before = desk.before(id, claim);
+            }
             if (before.isPresent()) {
                 end(request, before.get() == Desk.Known.ENDED ? HttpResponseStatus.CONFLICT
                         : HttpResponseStatus.ACCEPTED, "");
@@ -537,11 +550,48 @@
                 FullHttpResponse refusal = answer(HttpResponseStatus.SERVICE_UNAVAILABLE, taking.reason());
                 if (taking.waitMs() > 0) {
                     refusal.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(taking.waitMs()));
+                    if (hints.waitScope()) {
+                        refusal.headers().set("X-Wait-Scope", taking.destination() ? "destination" : "sender");
+                    }
                 }
                 end(request, refusal);
             }
         }
 
+        /** A long poll for ends: answered when there is one, when its time is over, or when the sender ends. */
+        private void follow(FullHttpRequest request, Follow ends) {
+            QueryStringDecoder query = new QueryStringDecoder(request.uri());
+            String peer = parameter(query, "client");
+            if (peer.isEmpty() || !parameter(query, "wait_ms").matches("[0-9]{0,6}")) {
+                end(request, HttpResponseStatus.BAD_REQUEST, "/ends?client=NAME&after=CURSOR&wait_ms=N");
+                return;
+            }
+            if (clients.get(State.FOLLOWING).size() >= Math.max(1, mostClients / FOLLOWERS)) {
+                end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many follow");
+                return;
+            }
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            enter(State.FOLLOWING);
+            // Read no further: its next request comes after this one's answer.
+            channel.config().setAutoRead(false);
+            String waitMs = parameter(query, "wait_ms");
+            asked = ends.ask(peer, parameter(query, "after"), waitMs.isEmpty() ? 0 : Long.parseLong(waitMs), lines -> {
+                asked = null;
+                enter(State.IDLE);
+                channel.config().setAutoRead(true);
+                FullHttpResponse told = answer(HttpResponseStatus.OK, lines);
+                told.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson");
+                end(keepAlive, told);
+            });
+            if (state != State.FOLLOWING) {
+                asked = null;
+            }
+        }
+
+        private static String parameter(QueryStringDecoder query, String name) {
+            return query.parameters().getOrDefault(name, List.of("")).get(0);
+        }
+
         private ChannelFuture end(FullHttpRequest request, HttpResponseStatus status, String text) {
             return end(request, answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text));
         }
@@ -562,7 +612,7 @@
         /** A client that does not read its answers is not read either. */
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            channel.config().setAutoRead(channel.isWritable() && state != State.ENDING);
+            channel.config().setAutoRead(channel.isWritable() && state != State.ENDING && state != State.FOLLOWING);
         }
 
         @Override
@@ -585,59 +635,4 @@
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
         return answer;
     }
-
-    private Desk.Submission read(FullHttpRequest request, String inPath) throws BadInput {
-        HttpHeaders headers = request.headers();
-        String id = required(headers, "X-Call-Id");
-        if (id.length() > LONGEST_ID) {
-            throw new BadInput("X-Call-Id is too long");
-        }
-        String messageClass = headers.get("X-Call-Class", inPath);
-        if (!messageClass.equals(inPath)) {
-            throw new BadInput("the class in the path is another than in X-Call-Class");
-        }
-        String tenant = headers.get("X-Caller", "");
-        if (!desk.knowsTenant(tenant)) {
-            throw new BadInput("X-Caller names no tenant");
-        }
-        Optional<String> key = Optional.ofNullable(headers.get("Idempotency-Key")).filter(k -> !k.isBlank());
-        if (key.isEmpty() && desk.needsKey(messageClass)) {
-            throw new BadInput("Idempotency-Key is missing");
-        }
-        long budgetMs = whole(required(headers, "X-Budget-Ms"), "X-Budget-Ms");
-        if (budgetMs < 1) {
-            throw new BadInput("X-Budget-Ms leaves no time");
-        }
-        return new Desk.Submission(id, messageClass, tenant, key, destination(headers), budgetMs,
-                ByteBufUtil.getBytes(request.content()), Claim.PLATFORM);
-    }
-
-    private static long destination(HttpHeaders headers) throws BadInput {
-        for (String part : ENVELOPE.split(required(headers, "X-Envelope"))) {
-            if (part.startsWith(DESTINATION)) {
-                return whole(part.substring(DESTINATION.length()), "dest");
-            }
-        }
-        throw new BadInput("X-Envelope names no dest");
-    }
-
-    private static String required(HttpHeaders headers, String name) throws BadInput {
-        String value = headers.get(name);
-        if (value == null || value.isBlank()) {
-            throw new BadInput(name + " is missing");
-        }
-        return value;
-    }
-
-    private static long whole(String value, String name) throws BadInput {
-        try {
-            long number = Long.parseLong(value.trim());
-            if (number < 0) {
-                throw new BadInput(name + " is negative");
-            }
-            return number;
-        } catch (NumberFormatException e) {
-            throw new BadInput(name + " is not a whole number");
-        }
-    }
 }
--- a/src/main/java/slipfield/standin/Ledger.java
+++ b/src/main/java/slipfield/standin/Ledger.java
@@ -1,8 +1,10 @@
 package slipfield.standin;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -73,6 +75,8 @@
 
     private final long windowNanos;
     private final Map<String, Order> orders = new ConcurrentHashMap<>();
+    /** When what nobody handed in here ran, by its key: the orders of clients that make their own ids. */
+    private final Map<String, List<Long>> keys = new ConcurrentHashMap<>();
     private final Recorder latency = new Recorder(TimeUnit.SECONDS.toMicros(120), 3);
     private final Histogram whole = new Histogram(TimeUnit.SECONDS.toMicros(120), 3);
     private final AtomicLong delivered = new AtomicLong();
@@ -106,10 +110,21 @@
         }
     }
 
+    /** A venue runs what was not handed in here. */
+    void ran(String key) {
+        keys.computeIfAbsent(key, k -> new CopyOnWriteArrayList<>()).add(System.nanoTime());
+    }
+
+    /** When an order of this key ran, of those that were not handed in here, by {@link System#nanoTime}. */
+    public List<Long> runs(String key) {
+        return keys.getOrDefault(key, List.of());
+    }
+
     /** A venue has an order; false: its key was here within the window, and it is not run again. */
-    boolean run(String id) {
+    boolean run(String id, String key) {
         Order order = orders.get(id);
         if (order == null) {
+            ran(key);
             return false;
         }
         boolean first;
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -23,7 +23,8 @@
     private int lives;
 
     /**
-     * Runs in this folder, which holds {@code config.json}.
+     * Runs in this folder, which holds {@code config.json}, and the operator's files {@code members.yaml} and {@code
+     * clients.yaml} where these are to be used.
      *
      * @param wrapper what the command is run by, such as {@code taskset -c 3}; may be empty
      * @param options the JVM's options
@@ -39,12 +40,6 @@
         return cpu == null ? List.of() : List.of("taskset", "-c", cpu.toString());
     }
 
-    /** Sets a variable of its environment from its next start on. */
-    public SenderProcess with(String name, String value) {
-        environment.put(name, value);
-        return this;
-    }
-
     /** Starts it, and waits until clients can connect. */
     public void start() throws IOException, InterruptedException {
         Files.createDirectories(folder.resolve("state"));
@@ -54,6 +49,10 @@
         if (Files.exists(members)) {
             environment.put("SLIPFIELD_MEMBERS", members.toString());
         }
+        Path clients = folder.resolve("clients.yaml");
+        if (Files.exists(clients)) {
+            environment.put("SLIPFIELD_CLIENTS", clients.toString());
+        }
         life = new Child(folder.resolve("sender-" + lives++ + ".log"), wrapper, options, List.of("serve"), environment,
                 LISTENS);
     }
--- a/src/main/java/slipfield/standin/TrialWorld.java
+++ b/src/main/java/slipfield/standin/TrialWorld.java
@@ -22,9 +22,10 @@
 
 /** All that a sender meets, on free ports of the loopback: venues, an agent, desks; and its configuration. */
 public final class TrialWorld implements AutoCloseable {
-    static final String KEYED = "order";
-    static final String ONCE = "once";
-    static final String TENANT = "desk";
+    /** A class whose orders venues know by their key, one that must not run twice, and who hands them in. */
+    public static final String KEYED = "order";
+    public static final String ONCE = "once";
+    public static final String TENANT = "desk";
     /** Venues drop a repeat of a key for so long. */
     public static final long WINDOW_MS = 10_000;
     private static final long AIM_MS = 2000;
--- a/src/main/java/slipfield/standin/Venue.java
+++ b/src/main/java/slipfield/standin/Venue.java
@@ -90,6 +90,7 @@
         askedNanos = System.nanoTime();
         asked.incrementAndGet();
         String order = request.headers().get("X-Call-Id", "");
+        String key = request.headers().get("Idempotency-Key", "");
         switch (mood) {
             case SILENT -> { }
             case RESET -> {
@@ -97,13 +98,13 @@
                 channel.close();
             }
             case SPOILT -> {
-                ledger.run(order);
+                ledger.run(order, key);
                 // Past the codec, which writes HTTP only.
                 channel.pipeline().firstContext()
                         .writeAndFlush(Unpooled.copiedBuffer("no such protocol\r\n\r\n", StandardCharsets.US_ASCII));
             }
             case LATE -> {
-                ledger.run(order);
+                ledger.run(order, key);
                 channel.eventLoop().schedule(() -> delivered(channel, order), LATE_MS, TimeUnit.MILLISECONDS);
             }
             case UP -> {
@@ -114,7 +115,7 @@
                     channel.writeAndFlush(full);
                     return;
                 }
-                ledger.run(order);
+                ledger.run(order, key);
                 if (serviceMicros == 0) {
                     delivered(channel, order);
                 } else {
--- /dev/null
+++ b/src/test/java/slipfield/client/ClientFaultsTest.java
@@ -0,0 +1,308 @@
+package slipfield.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import slipfield.client.decide.ClassRule;
+import slipfield.client.decide.End;
+import slipfield.client.decide.Rules;
+import slipfield.standin.Stub;
+
+/** A client among senders that do what no good one does; each step is in a script's hand. */
+class ClientFaultsTest {
+    private static final long WINDOW_MS = 1500;
+    private static final long MOST_MS = 30_000;
+    private static final Map<String, ClassRule> CLASSES = Map.of("keyed", ClassRule.keyed(WINDOW_MS), "once",
+            ClassRule.unsafe(), "safe", ClassRule.safe());
+    /** Quick ones: an answer in 60 ms, and a margin of 100 ms. */
+    private static final Rules RULES = new Rules(60, 100, 0.001, 20, 10, 100, 1, 1000, 4, 64, 8, 1000, 20, 100, 0, 1000, 10, 100,
+            0, 100, false, 500);
+
+    private final List<Stub.Message> handIns = new CopyOnWriteArrayList<>();
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable one : open) {
+            one.close();
+        }
+    }
+
+    /** What a sender does with a hand-in. */
+    private interface Does {
+        void with(Stub.Message handIn, Socket socket) throws Exception;
+    }
+
+    private Stub sender(Does does) throws Exception {
+        Stub stub = new Stub((request, socket) -> {
+            if (request.line().startsWith("GET /healthz")) {
+                Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            handIns.add(request);
+            does.with(request, socket);
+        });
+        open.add(stub);
+        return stub;
+    }
+
+    private Client client(Rules rules, Stub... senders) {
+        List<InetSocketAddress> at = new ArrayList<>();
+        for (Stub s : senders) {
+            String[] hostPort = s.hostPort().split(":");
+            at.add(new InetSocketAddress(hostPort[0], Integer.parseInt(hostPort[1])));
+        }
+        Client client = new Client(new ClientSettings("desk", Senders.of(at), CLASSES, rules, 1000, 2000, 7));
+        open.add(0, client);
+        return client;
+    }
+
+    private static Order order(String messageClass, long withinMs) {
+        return new Order(messageClass, "acme", 7, new byte[] {1}, Duration.ofMillis(withinMs));
+    }
+
+    private static End end(Submission submission) throws Exception {
+        return submission.await(MOST_MS);
+    }
+
+    private static Does answers(String head) {
+        return (handIn, socket) -> Stub.write(socket, "HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    @Test
+    void whatIsTakenEndsThereWhereEndsAreNotFollowed() throws Exception {
+        Client client = client(RULES, sender(answers("202 Accepted")));
+        assertInstanceOf(End.Taken.class, end(client.submit(order("keyed", 900))));
+        Stub.Message handIn = handIns.get(0);
+        assertEquals("POST /keyed HTTP/1.1", handIn.line());
+        assertEquals("dest=7", handIn.header("X-Envelope"));
+        assertEquals("acme", handIn.header("X-Caller"));
+        long budget = Long.parseLong(handIn.header("X-Budget-Ms"));
+        assertTrue(budget > 0 && budget <= 900, "its time, less what has passed: " + budget);
+    }
+
+    @Test
+    void aWaitOverTheTimeLeftEndsAtOnceAndNobodyElseAsks() throws Exception {
+        Client client = client(RULES, sender(answers("503 x\r\nRetry-After: 1e9\r\nX-Wait-Scope: destination")));
+        End.Refused first = assertInstanceOf(End.Refused.class, end(client.submit(order("once", 20_000))));
+        assertEquals(1_000_000_000_000L, first.comeBackMs());
+        for (int i = 0; i < 20; i++) {
+            assertInstanceOf(End.Refused.class, end(client.submit(order("safe", 20_000))));
+        }
+        assertEquals(1, handIns.size(), "no socket is touched while the wait holds");
+    }
+
+    @Test
+    void aWaitOfTheSenderSendsOrdersElsewhere() throws Exception {
+        Stub full = sender(answers("503 x\r\nRetry-After: 600\r\nX-Wait-Scope: sender"));
+        Stub good = sender(answers("202 Accepted"));
+        Client client = client(RULES, full, good);
+        for (int i = 0; i < 20; i++) {
+            assertInstanceOf(End.Taken.class, end(client.submit(order("once", 20_000))));
+        }
+        assertTrue(handIns.size() <= 21, "the full one is asked once: " + handIns.size());
+        assertTrue(handIns.stream().anyMatch(h -> "1".equals(h.header("X-Again"))) == handIns.size() > 20);
+    }
+
+    @Test
+    void withEverySenderToldToWaitAnOrderThatCannotWaitEndsAtOnce() throws Exception {
+        Client client = client(RULES, sender(answers("503 x\r\nRetry-After: 600")), sender(answers("503 x\r\nRetry-After: 600")));
+        for (int i = 0; i < 10; i++) {
+            assertInstanceOf(End.Refused.class, end(client.submit(order("once", 20_000))));
+        }
+        assertTrue(handIns.size() <= 2, "each is asked once: " + handIns.size());
+    }
+
+    /** What a sender does that may have taken an order and does not say so. */
+    private enum Unheard implements Does {
+        NOTHING {
+            @Override
+            public void with(Stub.Message handIn, Socket socket) {
+            }
+        },
+        HALF_A_HEAD {
+            @Override
+            public void with(Stub.Message handIn, Socket socket) throws Exception {
+                Stub.write(socket, "HTTP/1.1 202 Acc");
+            }
+        },
+        LATE {
+            @Override
+            public void with(Stub.Message handIn, Socket socket) throws Exception {
+                TimeUnit.MILLISECONDS.sleep(150);
+                Stub.write(socket, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+            }
+        },
+        DIES {
+            @Override
+            public void with(Stub.Message handIn, Socket socket) throws Exception {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        },
+        NOISE {
+            @Override
+            public void with(Stub.Message handIn, Socket socket) throws Exception {
+                Stub.write(socket, "%&$ no such protocol\r\n\r\n");
+            }
+        },
+        ERROR {
+            @Override
+            public void with(Stub.Message handIn, Socket socket) throws Exception {
+                Stub.write(socket, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n");
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Unheard.class)
+    void anUnheardOrderIsHandedInAgainWithinItsWindowOnly(Unheard does) throws Exception {
+        Client client = client(RULES, sender(does));
+        Submission keyed = client.submit(order("keyed", 20_000));
+        assertInstanceOf(End.Unknown.class, end(keyed));
+        List<Stub.Message> all = List.copyOf(handIns);
+        assertTrue(all.size() > 1, "it is handed in again");
+        long first = all.get(0).atNanos();
+        for (Stub.Message again : all) {
+            long lastMs = TimeUnit.NANOSECONDS.toMillis(again.atNanos() - first)
+                    + Long.parseLong(again.header("X-Budget-Ms"));
+            assertTrue(lastMs <= WINDOW_MS, "may run " + lastMs + " ms after the first");
+            assertEquals(keyed.order().key(), again.header("Idempotency-Key"));
+            assertEquals(again == all.get(0) ? null : "again", again.header("X-Again"));
+        }
+        assertEquals(all.size(), all.stream().map(h -> h.header("X-Call-Id")).distinct().count(), "a new id each time");
+        // Nothing comes behind its end: what is submitted later is heard, and nothing of this one.
+        handIns.clear();
+        assertInstanceOf(End.Unknown.class, end(client.submit(order("once", 20_000))));
+        assertTrue(handIns.stream().noneMatch(h -> keyed.order().key().equals(h.header("Idempotency-Key"))));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Unheard.class)
+    void anUnsafeOrderThatWasNotHeardIsNeverHandedInAgain(Unheard does) throws Exception {
+        Client client = client(RULES, sender(does));
+        End.Unknown end = assertInstanceOf(End.Unknown.class, end(client.submit(order("once", 20_000))));
+        assertFalse(end.taken());
+        assertEquals(1, handIns.size());
+    }
+
+    @Test
+    void theSameOrderByTwoThreadsIsOne() throws Exception {
+        CountDownLatch both = new CountDownLatch(1);
+        Client client = client(new Rules(5000, 100, 0.001, 20, 10, 100, 1, 1000, 4, 64, 8, 1000, 20, 100, 0, 1000, 10, 100, 0, 100,
+                false, 500), sender((handIn, socket) -> {
+                    both.await();
+                    Stub.write(socket, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+                }));
+        Order order = order("once", 20_000);
+        List<Submission> submitted = new CopyOnWriteArrayList<>();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Thread thread = new Thread(() -> submitted.add(client.submit(order)));
+            thread.start();
+            threads.add(thread);
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        both.countDown();
+        submitted.forEach(s -> assertSame(submitted.get(0), s));
+        assertInstanceOf(End.Taken.class, end(submitted.get(0)));
+        assertEquals(1, handIns.size());
+    }
+
+    @Test
+    void aTimeThatPassesBeforeItIsHandedInProvesThatItNeverRan() throws Exception {
+        // Nobody listens there any more; the second takes connections and never says that it is ready.
+        Stub gone = sender(answers("202 Accepted"));
+        gone.close();
+        Stub mute = new Stub((request, socket) -> { });
+        open.add(mute);
+        for (Stub out : List.of(gone, mute)) {
+            End.Failed end = assertInstanceOf(End.Failed.class, end(client(RULES, out).submit(order("once", 150))));
+            assertFalse(end.mayHaveRun());
+        }
+        // And while it waits as it was told.
+        Client waits = client(RULES, sender(answers("503 x\r\nRetry-After: 0.1\r\nX-Wait-Scope: tenant")));
+        assertInstanceOf(End.Refused.class, end(waits.submit(order("once", 150))));
+    }
+
+    @Test
+    void whatCannotBeTakenIsToldAsNeverRun() throws Exception {
+        Client client = client(RULES, sender(answers("400 x")));
+        End.Failed end = assertInstanceOf(End.Failed.class, end(client.submit(order("keyed", 20_000))));
+        assertFalse(end.mayHaveRun());
+        assertEquals(1, handIns.size());
+    }
+
+    @Test
+    void aClientThatIsClosedEndsAllThatItHolds() throws Exception {
+        CountDownLatch out = new CountDownLatch(1);
+        Client client = client(new Rules(5000, 100, 0.001, 20, 10, 100, 1, 1000, 1, 1, 1, 1000, 20, 100, 0, 1000, 10, 100, 0, 100,
+                false, 500), sender((handIn, socket) -> out.countDown()));
+        Submission first = client.submit(order("once", 20_000));
+        Submission queued = client.submit(order("once", 20_000));
+        assertTrue(out.await(30, TimeUnit.SECONDS));
+        client.close();
+        assertInstanceOf(End.Unknown.class, end(first));
+        assertFalse(assertInstanceOf(End.Failed.class, end(queued)).mayHaveRun());
+        assertFalse(assertInstanceOf(End.Failed.class, end(client.submit(order("once", 20_000)))).mayHaveRun());
+    }
+
+    @Test
+    void anOrderIsCalledOffUntilASenderHasIt() throws Exception {
+        Client away = client(RULES);
+        Submission queued = away.submit(order("once", 20_000));
+        assertTrue(queued.cancel().get(30, TimeUnit.SECONDS));
+        assertFalse(assertInstanceOf(End.Failed.class, end(queued)).mayHaveRun());
+        Client client = client(RULES, sender(answers("202 Accepted")));
+        Submission taken = client.submit(order("once", 20_000));
+        end(taken);
+        assertFalse(taken.cancel().get(30, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aSenderThatClosesInOrderGetsNothingNewWhileAnotherDoes() throws Exception {
+        Stub leaving = sender((handIn, socket) -> {
+            Stub.write(socket, "HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            socket.close();
+        });
+        Stub staying = sender(answers("202 Accepted"));
+        Rules drains = new Rules(1000, 100, 0.001, 20, 10, 100, 1, 1000, 4, 64, 1, 1000, 20, 100, 0, 1000, 10, 100, 0, 600_000,
+                false, 500);
+        Client client = client(drains, leaving, staying);
+        for (int i = 0; i < 30; i++) {
+            assertInstanceOf(End.Taken.class, end(client.submit(order("once", 20_000))));
+        }
+        assertTrue(handIns.size() == 30);
+    }
+
+    @Test
+    void aListThatEmptiesLeavesTheLastOneStanding() throws Exception {
+        Stub stub = sender(answers("202 Accepted"));
+        String[] at = stub.hostPort().split(":");
+        Senders empties = told -> {
+            told.accept(List.of(new InetSocketAddress(at[0], Integer.parseInt(at[1]))));
+            told.accept(List.of());
+        };
+        Client client = new Client(new ClientSettings("desk", empties, CLASSES, RULES, 1000, 2000, 7));
+        open.add(0, client);
+        assertInstanceOf(End.Taken.class, end(client.submit(order("once", 20_000))));
+    }
+}
--- /dev/null
+++ b/src/test/java/slipfield/client/ClientTest.java
@@ -0,0 +1,163 @@
+package slipfield.client;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import slipfield.client.decide.ClassRule;
+import slipfield.client.decide.End;
+import slipfield.client.decide.Rules;
+import slipfield.standin.SenderProcess;
+import slipfield.standin.Stub;
+import slipfield.standin.TrialWorld;
+import slipfield.standin.Venue;
+
+/** A client and the real sender, as a process that is killed. */
+class ClientTest {
+    private static final long WINDOW_MS = 10_000;
+    private static final long MOST_MS = 60_000;
+    private static final Map<String, ClassRule> CLASSES = Map.of(TrialWorld.KEYED, ClassRule.keyed(WINDOW_MS),
+            TrialWorld.ONCE, ClassRule.unsafe());
+
+    @TempDir
+    Path folder;
+    private TrialWorld world;
+    private SenderProcess sender;
+    private final List<Client> clients = new ArrayList<>();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+    @AfterEach
+    void close() {
+        clients.forEach(Client::close);
+        sender.close();
+        world.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void start(String clientsFile) throws Exception {
+        world = new TrialWorld(folder, new TrialWorld.Size(3, 1e6, 1000, 12_000, 2000, 64));
+        Files.writeString(folder.resolve("clients.yaml"), clientsFile);
+        sender = new SenderProcess(folder, List.of(), SenderProcess.SMALL);
+        sender.start();
+    }
+
+    private Client client(Rules rules) {
+        return client("desk", rules, new Client.Observer() {
+        });
+    }
+
+    private Client client(String name, Rules rules, Client.Observer observer) {
+        Client client = new Client(new ClientSettings(name, Senders.of(List.of(world.sender())), CLASSES, rules, 1000, 2000,
+                clients.size()), group, observer);
+        clients.add(client);
+        return client;
+    }
+
+    private static Order order(String messageClass, long withinMs) {
+        return new Order(messageClass, TrialWorld.TENANT, 1, new byte[] {1, 2}, Duration.ofMillis(withinMs));
+    }
+
+    private List<Submission> submit(Client client, int many, long withinMs) {
+        List<Submission> all = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            all.add(client.submit(order(i % 2 == 0 ? TrialWorld.KEYED : TrialWorld.ONCE, withinMs)));
+        }
+        return all;
+    }
+
+    /** What is told must be what happened at the venues; and nothing ran against its class. */
+    private void trueAndOnce(List<Submission> all) throws Exception {
+        for (Submission s : all) {
+            End end = s.await(MOST_MS);
+            List<Long> runs = world.ledger().runs(s.order().key());
+            if (end instanceof End.Delivered) {
+                assertFalse(runs.isEmpty(), "told as delivered, and no venue has it");
+            } else if (end instanceof End.Refused || end instanceof End.Failed failed && !failed.mayHaveRun()) {
+                assertTrue(runs.isEmpty(), "told as " + end + ", and a venue has it");
+            }
+            if (s.order().messageClass().equals(TrialWorld.ONCE)) {
+                assertTrue(runs.size() <= 1, "an unsafe order ran " + runs.size() + " times");
+            }
+            long first = runs.stream().mapToLong(Long::longValue).min().orElse(0);
+            long last = runs.stream().mapToLong(Long::longValue).max().orElse(0);
+            assertTrue(TimeUnit.NANOSECONDS.toMillis(last - first) <= WINDOW_MS, "a key ran again past its window");
+        }
+    }
+
+    private static long delivered(List<Submission> all) throws Exception {
+        long delivered = 0;
+        for (Submission s : all) {
+            delivered += s.await(MOST_MS) instanceof End.Delivered ? 1 : 0;
+        }
+        return delivered;
+    }
+
+    @Test
+    void ordersAreFollowedToTheirEnds() throws Exception {
+        start("ends: {keep: 1m}\n");
+        List<Submission> all = submit(client(Rules.DEFAULT.following(true)), 400, 11_000);
+        trueAndOnce(all);
+        assertEquals(400, delivered(all));
+    }
+
+    @Test
+    void anOrderThatVenuesGiveUpIsToldSo() throws Exception {
+        start("ends: {}\n");
+        world.venues().forEach(v -> v.mood(Venue.Mood.SILENT));
+        Client client = client(Rules.DEFAULT.following(true));
+        End end = client.submit(order(TrialWorld.ONCE, 3000)).await(MOST_MS);
+        assertTrue(assertInstanceOf(End.Failed.class, end).mayHaveRun(), end.toString());
+    }
+
+    @Test
+    void withoutThePartForEndsAnOrderEndsWhenItIsTaken() throws Exception {
+        start("wait_scope: true\n");
+        assertInstanceOf(End.Taken.class, client(Rules.DEFAULT).submit(order(TrialWorld.ONCE, 9000)).await(MOST_MS));
+    }
+
+    /** Its sender is killed three times in a burst: one true end each, none doubled, and those owed are told by the next life. */
+    @Test
+    void aSenderThatIsKilledInABurstLosesAndDoublesNothing() throws Exception {
+        start("reconnect_within: 300ms\nends: {keep: 1m}\n");
+        Client client = client(Rules.DEFAULT.following(true));
+        List<Submission> all = new ArrayList<>();
+        for (int kill = 0; kill < 3; kill++) {
+            all.addAll(submit(client, 300, 11_000));
+            int before = all.size();
+            Stub.await("some are taken", () -> client.open() < before);
+            sender.kill();
+            all.addAll(submit(client, 100, 11_000));
+            sender.start();
+        }
+        trueAndOnce(all);
+        assertTrue(delivered(all) > 600, "of 1,200 only " + delivered(all) + " were delivered");
+    }
+
+    /** A client that is started again under its name hears of its earlier life's ends, and passes them over. */
+    @Test
+    void endsThatNobodyHearsHoldNothingUp() throws Exception {
+        start("ends: {keep: 1s, most: 50}\n");
+        Client gone = client("gone", Rules.DEFAULT.following(true), new Client.Observer() {
+        });
+        submit(gone, 200, 9000);
+        Stub.await("they are out", () -> world.venues().stream().mapToLong(Venue::asked).sum() > 50);
+        gone.close();
+        List<Submission> all = submit(client(Rules.DEFAULT.following(true)), 100, 9000);
+        trueAndOnce(all);
+        assertEquals(100, delivered(all));
+    }
+}
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -212,7 +212,7 @@
                 return known.get().name();
             }
             Desk.Taking taking = world.desk.take(new Desk.Submission(id, type, "acme", Optional.empty(), 7, 20_000,
-                    new byte[] {1}, claim));
+                    new byte[] {1}, List.of(claim)));
             taking.held().ifPresent(held -> world.desk.answered(held, world.desk.written()));
             return taking.held().isPresent() ? "taken" : taking.reason();
         });
@@ -271,7 +271,7 @@
     void whatASecondFrontWasToldIsHeldIsNotWithdrawnWhenTheFirstOneGoes() throws Exception {
         String known = on(() -> {
             Held held = world.desk.take(new Desk.Submission("one", "once", "acme", Optional.empty(), 7, 20_000,
-                    new byte[] {1}, DROPS)).held().orElseThrow();
+                    new byte[] {1}, List.of(DROPS))).held().orElseThrow();
             world.desk.written();
             String second = world.desk.before("one", ASKS).orElseThrow().name();
             // The first one's connection is gone before its answer was out.
--- a/src/test/java/slipfield/standin/LedgerTest.java
+++ b/src/test/java/slipfield/standin/LedgerTest.java
@@ -18,13 +18,13 @@
     @Test
     void eachEndCountsOnce() {
         taken("delivered", Ledger.Effect.KEYED);
-        ledger.run("delivered");
+        ledger.run("delivered", "");
         ledger.delivered("delivered");
         taken("refused", Ledger.Effect.KEYED);
         ledger.noticed("refused", true);
         ledger.noticed("refused", true);
         taken("failed", Ledger.Effect.ONCE);
-        ledger.run("failed");
+        ledger.run("failed", "");
         ledger.noticed("failed", false);
         ledger.handedIn("away", Ledger.Effect.ONCE);
         ledger.handedIn("full", Ledger.Effect.ONCE);
@@ -38,7 +38,7 @@
     @Test
     void whatIsTakenAndHasNoEndIsLost() {
         taken("one", Ledger.Effect.KEYED);
-        ledger.run("one");
+        ledger.run("one", "");
         assertEquals(1, ledger.account().lost());
         assertFalse(ledger.account().holds());
         assertFalse(ledger.allEnded());
@@ -47,8 +47,8 @@
     @Test
     void whatMustNotRunTwiceAndDoesIsDoubled() {
         taken("one", Ledger.Effect.ONCE);
-        ledger.run("one");
-        ledger.run("one");
+        ledger.run("one", "");
+        ledger.run("one", "");
         ledger.delivered("one");
         assertEquals(1, ledger.account().doubled());
         assertFalse(ledger.account().holds());
@@ -57,22 +57,22 @@
     @Test
     void aKeyDropsRepeatsWithinItsWindowOnly() {
         taken("one", Ledger.Effect.KEYED);
-        assertTrue(ledger.run("one"));
-        assertFalse(ledger.run("one"));
+        assertTrue(ledger.run("one", ""));
+        assertFalse(ledger.run("one", ""));
         ledger.delivered("one");
         assertEquals(1, ledger.account().repeats());
         assertTrue(ledger.account().holds());
         Ledger past = new Ledger(-1);
         past.handedIn("one", Ledger.Effect.KEYED);
-        past.run("one");
-        past.run("one");
+        past.run("one", "");
+        past.run("one", "");
         assertEquals(1, past.account().doubled());
     }
 
     @Test
     void whatIsGivenBackThoughItRanIsDoubled() {
         taken("one", Ledger.Effect.ONCE);
-        ledger.run("one");
+        ledger.run("one", "");
         ledger.noticed("one", true);
         assertEquals(1, ledger.account().doubled());
     }
