A sender that has just started tells no waits of a minute; reconnects and an outage measured

Cause: admission takes the most that any stretch of 2 s showed for a destination's rate, and took a stretch that had just begun for a whole one. The first delivery after a start was a rate of one in two seconds, 16 that waited a wait of 32 to 87 s. Desks that ignore waits hid it.

Change: no rate before a whole stretch; reconnects draw from the told window again and again, which grows after four failures only (it grew at the first: the last of 1,000 came 16.3 s after the sender, for a window of 3 s). Commands send, reconnects, outage; tests of ends (cursor, parts, bounds) and of the spread.

--- a/src/main/java/slipfield/admission/Admission.java
+++ b/src/main/java/slipfield/admission/Admission.java
@@ -144,8 +144,15 @@
             stretches.peekLast().ends++;
         }
 
-        /** The rate at which the destination takes messages, as far as was seen; 0 where nothing was. */
+        /**
+         * The rate at which the destination takes messages, as far as was seen; 0 where nothing was. A stretch that has
+         * just begun shows nothing yet: taken for a whole one, the first delivery after a start would be a rate of one
+         * in two seconds, and whoever heeds the wait that follows from it stays away for a minute.
+         */
         private double perMs(double now) {
+            if (stretches.isEmpty() || now - stretches.peekFirst().from < STRETCH_MS) {
+                return 0;
+            }
             int most = 0;
             int steady = 0;
             int steadyMost = 0;
--- a/src/main/java/slipfield/cli/Cli.java
+++ b/src/main/java/slipfield/cli/Cli.java
@@ -14,7 +14,7 @@
         footer = {"", "New here? 'slipfield try' runs the whole of it on this machine, with stand-ins."},
         subcommands = {Cli.Serve.class, Cli.Simhost.class, TryCommand.class, BenchCommand.class,
             JournalCommand.class, MembersCommand.class, FlipsCommand.class, StandInCommand.class,
-            ConvertCommand.class})
+            ConvertCommand.class, SendCommand.class, ReconnectsCommand.class, OutageCommand.class})
 public final class Cli implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/slipfield/client/decide/Rules.java
+++ b/src/main/java/slipfield/client/decide/Rules.java
@@ -16,7 +16,7 @@
  * @param mostConnections to one sender
  * @param mostQueued orders that wait to be handed in; one more is refused at once
  * @param spreadMs a lost connection is made anew within so long, unless the sender tells another window
- * @param mostSpreadMs failed connects double the window up to this; a told one is bounded by it too
+ * @param mostSpreadMs connects that go on failing double the window up to this; a told one is bounded by it too
  * @param trialShare share of clients that connect in the first tenth of the window
  * @param ejectAfter a sender is left alone after so many hand-ins in a row without an answer
  * @param ejectMs for so long, doubled by each time in a row
@@ -31,7 +31,7 @@
         long spreadMs, long mostSpreadMs, double trialShare, int ejectAfter, long ejectMs, long mostEjectMs,
         long returnMs, long drainMs, boolean follows, long graceMs) {
     /** What holds where nothing is said. */
-    public static final Rules DEFAULT = new Rules(400, 500, 0.001, 20, 50, 2000, 0.2, 20, 4, 256, 64, 10_000, 1000, 30_000,
+    public static final Rules DEFAULT = new Rules(400, 500, 0.001, 20, 50, 2000, 0.2, 20, 4, 256, 64, 10_000, 1000, 10_000,
             0.01, 3, 1000, 30_000, 5000, 3000, false, 2000);
 
     /** Checks the ranges; the error names the field. */
--- a/src/main/java/slipfield/client/decide/Spread.java
+++ b/src/main/java/slipfield/client/decide/Spread.java
@@ -9,6 +9,8 @@
  */
 final class Spread {
     private static final int MOST_DOUBLINGS = 10;
+    /** Connects that fail before the window grows: while they are spread over it they ask little of a sender. */
+    private static final int PATIENCE = 4;
     private static final double HEAD = 0.1;
 
     private Spread() {
@@ -21,8 +23,8 @@
      * @param failures connects that failed in a row
      */
     static long delay(Rules rules, long windowMs, int failures, RandomGenerator random) {
-        double window = Math.min(rules.mostSpreadMs(),
-                Math.max(windowMs, failures > 0 ? rules.pauseMs() : 0) * Math.pow(2, Math.min(MOST_DOUBLINGS, failures)));
+        double window = Math.min(rules.mostSpreadMs(), Math.max(windowMs, failures > 0 ? rules.pauseMs() : 0)
+                * Math.pow(2, Math.max(0, Math.min(MOST_DOUBLINGS, failures - PATIENCE))));
         boolean trial = random.nextDouble() < rules.trialShare();
         double at = trial ? HEAD * random.nextDouble() : HEAD + (1 - HEAD) * random.nextDouble();
         return (long) (window * at);
--- a/src/test/java/slipfield/admission/AdmissionTest.java
+++ b/src/test/java/slipfield/admission/AdmissionTest.java
@@ -46,6 +46,16 @@
         assertTrue(admission.admit(20_000, DEST + 1, 5000, 30).taken(), "another destination has its own");
     }
 
+    /** Found by clients that heeded it: a sender that had just started told waits of 87 s, and stood idle. */
+    @Test
+    void theFirstDeliveriesOfALifeAreNoRate() {
+        hold(0, 30);
+        admission.ended(100, DEST, true);
+        assertTrue(admission.admit(110, DEST, LEFT, 29).taken());
+        deliver(110, 1900, 50, true);
+        assertTrue(admission.admit(1900, DEST, 1000, 29).taken());
+    }
+
     @Test
     void anOutageIsNotSlowness() {
         hold(0, 200);
--- a/src/test/java/slipfield/client/ClientFaultsTest.java
+++ b/src/test/java/slipfield/client/ClientFaultsTest.java
@@ -293,6 +293,19 @@
         assertTrue(handIns.size() == 30);
     }
 
+    @Test
+    void oneConnectionTakesOneOrderAfterTheOther() throws Exception {
+        Client client = client(RULES.atMost(1, 1), sender(answers("202 Accepted")));
+        List<Submission> all = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            all.add(client.submit(order("once", 20_000)));
+        }
+        for (Submission s : all) {
+            assertInstanceOf(End.Taken.class, end(s));
+        }
+        assertEquals(1, handIns.stream().map(Stub.Message::connection).distinct().count());
+    }
+
     @Test
     void aListThatEmptiesLeavesTheLastOneStanding() throws Exception {
         Stub stub = sender(answers("202 Accepted"));
--- /dev/null
+++ b/src/test/java/slipfield/client/decide/SpreadTest.java
@@ -0,0 +1,120 @@
+package slipfield.client.decide;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** When a thousand clients connect anew: one courier each, on one clock, and a sender that dies and comes back. */
+class SpreadTest {
+    private static final int CLIENTS = 1000;
+    private static final long WINDOW_MS = 5000;
+    private static final Rules RULES = Rules.DEFAULT.spreadOver(1000, 0.02).atMost(1, 1);
+
+    /** The connects of one client are all that is noted. */
+    private static final class Connects implements Courier.Actions {
+        private int asked;
+
+        @Override
+        public void handIn(long order, int attempt, String sender, long budgetMs, Courier.Again again) {
+        }
+
+        @Override
+        public void abandon(long order, int attempt) {
+        }
+
+        @Override
+        public void connect(String sender, boolean trial) {
+            asked++;
+        }
+
+        @Override
+        public void end(long order, End end) {
+        }
+    }
+
+    /** When each client connects for the first time after all lost the sender at 1,000 ms. */
+    private static List<Long> connects(long toldMs) {
+        List<Long> at = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            Connects connects = new Connects();
+            Courier courier = new Courier(RULES, new SplittableRandom(i), 0, connects);
+            courier.senders(0, List.of("s"));
+            assertEquals(1, connects.asked, "the first connection of a life waits for nothing");
+            courier.connected(1, "s");
+            courier.window(1, "s", toldMs);
+            courier.closed(1000, "s", false);
+            // One that drew nothing has connected already.
+            long next = connects.asked == 2 ? 1000 : courier.nextMs();
+            if (next > 1000) {
+                courier.tick(next - 1);
+                assertEquals(1, connects.asked);
+            }
+            courier.tick(next);
+            assertEquals(2, connects.asked);
+            at.add(next - 1000);
+        }
+        return at;
+    }
+
+    @Test
+    void theyAreSpreadOverTheWindowThatTheSenderTold() {
+        List<Long> at = connects(WINDOW_MS);
+        int[] tenths = new int[10];
+        at.forEach(ms -> tenths[(int) (ms * 10 / WINDOW_MS)]++);
+        // A fiftieth in the first tenth, to find out; the rest evenly: 109 a tenth, give or take four deviations.
+        assertTrue(tenths[0] >= 5 && tenths[0] <= 40, "trials: " + tenths[0]);
+        for (int i = 1; i < 10; i++) {
+            assertTrue(tenths[i] > 70 && tenths[i] < 150, "in tenth " + i + ": " + tenths[i]);
+        }
+    }
+
+    @Test
+    void withoutAToldWindowTheirOwnHolds() {
+        assertTrue(connects(-1).stream().allMatch(ms -> ms < 1000));
+    }
+
+    @Test
+    void connectsThatFailComeEverMoreSeldomAndNeverStop() {
+        Connects connects = new Connects();
+        Courier courier = new Courier(RULES, new SplittableRandom(3), 0, connects);
+        courier.senders(0, List.of("s"));
+        long now = 0;
+        for (int i = 1; i < 40; i++) {
+            assertEquals(i, connects.asked);
+            courier.connectFailed(now, "s");
+            long next = courier.nextMs();
+            assertTrue(next - now <= RULES.mostSpreadMs(), "after " + (next - now));
+            now = next;
+            courier.tick(now);
+        }
+        assertTrue(now > 10 * RULES.mostSpreadMs() / 2, "in " + now);
+    }
+
+    @Test
+    void aToldWindowWithoutEndIsBounded() {
+        assertTrue(connects(Long.MAX_VALUE).stream().allMatch(ms -> ms <= RULES.mostSpreadMs()));
+    }
+
+    @Test
+    void aPoolRefillsOneByOneOverTheWindow() {
+        Connects connects = new Connects();
+        Courier courier = new Courier(Rules.DEFAULT.spreadOver(1000, 0).atMost(100, 10), new SplittableRandom(1), 0, connects);
+        courier.senders(0, List.of("s"));
+        courier.connected(0, "s");
+        for (int i = 0; i < 50; i++) {
+            courier.submit(0, i, ClassRule.safe(), "7", "t", 60_000);
+        }
+        assertEquals(1, connects.asked, "all that wait do not open a connection each");
+        for (int i = 1; i <= 9; i++) {
+            courier.tick(i * 100 - 1);
+            assertEquals(i, connects.asked);
+            courier.tick(i * 100);
+            assertEquals(i + 1, connects.asked);
+            courier.connected(i * 100, "s");
+        }
+    }
+}
