Client: tests of budget, level, ejection, and of a stream of ends that is cut at every byte

Need: each hard case of the client library is to be shown by a test.

Change: tests of the courier's parts; a stream cut after each byte with its connection; nothing of the ends, the client or the operators' files is loaded in a sender that is not set up for them.

--- a/src/main/java/slipfield/client/Follower.java
+++ b/src/main/java/slipfield/client/Follower.java
@@ -25,7 +25,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Follower.class);
     private static final long WAIT_MS = 5000;
     private static final long ANSWER_MS = WAIT_MS + 3000;
-    private static final long PAUSE_MS = 200;
+    private static final long PAUSE_MS = 50;
 
     /** Told of an order's end. */
     interface Told {
--- a/src/test/java/slipfield/client/ClientFaultsTest.java
+++ b/src/test/java/slipfield/client/ClientFaultsTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -279,7 +280,9 @@
 
     @Test
     void aSenderThatClosesInOrderGetsNothingNewWhileAnotherDoes() throws Exception {
+        AtomicInteger left = new AtomicInteger();
         Stub leaving = sender((handIn, socket) -> {
+            left.incrementAndGet();
             Stub.write(socket, "HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
             socket.close();
         });
@@ -290,7 +293,44 @@
         for (int i = 0; i < 30; i++) {
             assertInstanceOf(End.Taken.class, end(client.submit(order("once", 20_000))));
         }
-        assertTrue(handIns.size() == 30);
+        assertEquals(30, handIns.size());
+        assertEquals(1, left.get(), "one of two is asked first within 30 orders, and not again");
+    }
+
+    /** The stream of ends is cut after each of its bytes, with its connection: nothing is lost, and nothing is told twice. */
+    @Test
+    void aStreamOfEndsThatIsCutAnywhereIsTakenUpAgain() throws Exception {
+        List<String> calls = new CopyOnWriteArrayList<>();
+        AtomicInteger cutAt = new AtomicInteger();
+        Stub stub = new Stub((request, socket) -> {
+            if (request.line().startsWith("GET /ends")) {
+                Stub.await("an order was taken", () -> !calls.isEmpty());
+                String after = request.line().replaceAll(".*after=([^& ]*).*", "$1");
+                StringBuilder lines = new StringBuilder();
+                for (int i = after.isEmpty() ? 0 : Integer.parseInt(after); i < calls.size(); i++) {
+                    lines.append("{\"cursor\":\"").append(i + 1).append("\",\"ref\":\"").append(calls.get(i))
+                            .append("\",\"end\":\"delivered\"}\n");
+                }
+                String whole = "HTTP/1.1 200 OK\r\nContent-Length: " + lines.length() + "\r\n\r\n" + lines;
+                int cut = cutAt.getAndIncrement();
+                Stub.write(socket, whole.substring(0, Math.min(cut, whole.length())));
+                if (cut < whole.length()) {
+                    socket.close();
+                }
+            } else if (request.line().startsWith("GET")) {
+                Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            } else {
+                calls.add(request.header("X-Call-Id"));
+                Stub.write(socket, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+        open.add(stub);
+        Client client = client(RULES.following(true), stub);
+        List<Submission> all = List.of(client.submit(order("once", 60_000)), client.submit(order("once", 60_000)));
+        for (Submission s : all) {
+            assertInstanceOf(End.Delivered.class, s.await(60_000));
+        }
+        assertTrue(cutAt.get() > 100, "cut " + cutAt.get() + " times");
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/slipfield/client/decide/PartsTest.java
@@ -0,0 +1,192 @@
+package slipfield.client.decide;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** The parts of a courier, and what it makes of senders that fail. */
+class PartsTest {
+    /** Senders that are always connected, and hand-ins that the test answers. */
+    private static final class Desk implements Courier.Actions {
+        private final Courier courier;
+        private final Map<Long, End> ends = new HashMap<>();
+        private final List<String> sentTo = new ArrayList<>();
+        private long number;
+        private long last;
+        private int lastAttempt;
+
+        Desk(Rules rules, String... senders) {
+            courier = new Courier(rules, new SplittableRandom(5), 0, this);
+            courier.senders(0, List.of(senders));
+        }
+
+        long submit(long now, long withinMs) {
+            courier.submit(now, number, ClassRule.unsafe(), "7", "t", withinMs);
+            return number++;
+        }
+
+        void answer(long now, Heard heard) {
+            courier.heard(now, last, lastAttempt, heard, true, false);
+        }
+
+        private String at() {
+            return sentTo.get(sentTo.size() - 1);
+        }
+
+        @Override
+        public void handIn(long order, int attempt, String sender, long budgetMs, Courier.Again again) {
+            last = order;
+            lastAttempt = attempt;
+            sentTo.add(sender);
+        }
+
+        @Override
+        public void abandon(long order, int attempt) {
+        }
+
+        @Override
+        public void connect(String sender, boolean trial) {
+        }
+
+        @Override
+        public void end(long order, End end) {
+            ends.put(order, end);
+        }
+    }
+
+    @Test
+    void repeatsAreAShareOfWhatComesFirst() {
+        RetryBudget budget = new RetryBudget(0.2, 10, 0);
+        for (int i = 0; i < 10; i++) {
+            assertTrue(budget.take(0));
+        }
+        assertFalse(budget.take(0));
+        assertEquals(1000, budget.nextMs(0));
+        for (int i = 0; i < 50; i++) {
+            budget.first();
+        }
+        int repeats = 0;
+        while (budget.take(0)) {
+            repeats++;
+        }
+        assertEquals(10, repeats, 1);
+        assertTrue(budget.take(1000) && !budget.take(1000), "and one a second");
+    }
+
+    @Test
+    void theLevelFindsWhatASenderAnswersQuickly() {
+        Level level = new Level(2, 100, 0);
+        assertEquals(8, level.level());
+        long now = 0;
+        // A sender that takes 20 at once: each more adds to the time that its answer takes.
+        for (int i = 0; i < 20_000; i++) {
+            now++;
+            int out = level.level();
+            level.answered(now, 5 + 2.0 * Math.max(0, out - 20), out);
+        }
+        assertTrue(level.level() >= 18 && level.level() <= 32, "it is " + level.level());
+        for (int i = 0; i < 100; i++) {
+            now += 200;
+            level.pushedBack(now);
+        }
+        assertEquals(2, level.level());
+    }
+
+    @Test
+    void oneFaultCutsTheLevelOnce() {
+        Level level = new Level(2, 100, 0);
+        for (int i = 0; i < 50; i++) {
+            level.pushedBack(1000);
+        }
+        assertEquals(5, level.level());
+    }
+
+    @Test
+    void aSenderThatDoesNotAnswerIsLeftAloneAndComesBackSlowly() {
+        Rules rules = Rules.DEFAULT;
+        Desk desk = new Desk(rules, "bad", "good");
+        for (String sender : List.of("bad", "good")) {
+            for (int i = 0; i < 8; i++) {
+                desk.courier.connected(0, sender);
+            }
+        }
+        long now = 10_000;
+        int lost = 0;
+        while (lost < rules.ejectAfter()) {
+            desk.submit(now, 20_000);
+            boolean bad = desk.at().equals("bad");
+            desk.answer(now, bad ? Heard.lost("") : Heard.taken());
+            lost += bad ? 1 : 0;
+        }
+        desk.sentTo.clear();
+        for (int i = 0; i < 200; i++) {
+            desk.submit(now + 10, 20_000);
+            desk.answer(now + 10, Heard.taken());
+        }
+        assertFalse(desk.sentTo.contains("bad"), "it is left alone");
+        desk.sentTo.clear();
+        long back = now + rules.ejectMs() + 1;
+        List<Long> open = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            open.add(desk.submit(back, 20_000));
+        }
+        assertTrue(desk.sentTo.stream().filter("bad"::equals).count() <= 2, "it comes back slowly: " + desk.sentTo);
+    }
+
+    @Test
+    void withEverySenderLeftAloneOneIsAskedStill() {
+        Desk desk = new Desk(Rules.DEFAULT, "only");
+        for (int i = 0; i < 30; i++) {
+            desk.courier.connected(0, "only");
+        }
+        for (int i = 0; i < 10; i++) {
+            desk.submit(10, 20_000);
+            desk.answer(10, Heard.lost(""));
+        }
+        assertEquals(10, desk.sentTo.size());
+    }
+
+    @Test
+    void ordersWhoseTimeEndsFirstGoFirst() {
+        Desk desk = new Desk(Rules.DEFAULT.atMost(1, 1), "s");
+        long late = desk.submit(0, 20_000);
+        long soon = desk.submit(0, 5000);
+        desk.courier.connected(10, "s");
+        assertEquals(soon, desk.last);
+        desk.answer(20, Heard.taken());
+        assertEquals(late, desk.last);
+    }
+
+    @Test
+    void moreThanMayWaitIsRefusedAtOnce() {
+        Desk desk = new Desk(Rules.DEFAULT, "s");
+        long last = 0;
+        for (int i = 0; i <= Rules.DEFAULT.mostQueued(); i++) {
+            last = desk.submit(0, 20_000);
+        }
+        assertEquals(1, desk.ends.size());
+        assertInstanceOf(End.Refused.class, desk.ends.get(last));
+    }
+
+    @Test
+    void aDeliveryThatIsToldBeforeItsAnswerEndsTheOrderAndFreesTheConnectionLater() {
+        Desk desk = new Desk(Rules.DEFAULT.following(true).atMost(1, 1), "s");
+        desk.courier.connected(0, "s");
+        long first = desk.submit(0, 20_000);
+        desk.courier.ended(5, first, 1, new End.Delivered());
+        assertInstanceOf(End.Delivered.class, desk.ends.get(first));
+        long second = desk.submit(6, 20_000);
+        assertEquals(first, desk.last, "the connection still waits for its answer");
+        desk.courier.heard(7, first, 1, Heard.taken(), true, false);
+        assertEquals(second, desk.last);
+        assertEquals(1, desk.ends.size());
+    }
+}
--- a/src/test/java/slipfield/daemon/MembersTest.java
+++ b/src/test/java/slipfield/daemon/MembersTest.java
@@ -311,7 +311,8 @@
         }
         String loaded = Files.readString(log);
         assertTrue(loaded.contains("slipfield.directory.Discovery "));
-        for (String part : List.of("slipfield.membership.", "slipfield.directory.consul.", "slipfield.directory.merged.")) {
+        for (String part : List.of("slipfield.membership.", "slipfield.directory.consul.", "slipfield.directory.merged.",
+                "slipfield.settings.", "org.snakeyaml.", "slipfield.outcome.ends.", "slipfield.client.")) {
             assertFalse(loaded.contains(part), part);
         }
     }
