--- a/src/main/java/slipfield/cli/BenchCommand.java
+++ b/src/main/java/slipfield/cli/BenchCommand.java
@@ -51,8 +51,21 @@
             description = "With --baseline: how many times in turn. Default: ${DEFAULT-VALUE}")
     private int pairs;
 
+    @Option(names = "--library", description = "Measures one client of the library in place of the desks: orders a second that "
+            + "are taken, and what one costs it.")
+    private boolean library;
+
     @Override
     public Integer call() throws Exception {
+        if (library) {
+            return (int) in((folder, world) -> {
+                try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
+                    sender.start();
+                    new LibraryBench().run(spec.commandLine().getOut(), world.sender(), desks, warmUp, seconds);
+                    return 0;
+                }
+            });
+        }
         if (!baseline) {
             return sender() > 0 ? 0 : 1;
         }
--- a/src/main/java/slipfield/cli/SendCommand.java
+++ b/src/main/java/slipfield/cli/SendCommand.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -29,6 +30,7 @@
 import picocli.CommandLine.Spec;
 import slipfield.client.Client;
 import slipfield.client.ClientSettings;
+import slipfield.client.ConsulSenders;
 import slipfield.client.Order;
 import slipfield.client.SenderFile;
 import slipfield.client.Senders;
@@ -59,6 +61,9 @@
     private List<String> to = new ArrayList<>();
     @Option(names = "--senders", paramLabel = "FILE", description = "A YAML file with a list `senders`, read again as it changes.")
     private Path senders;
+    @Option(names = "--consul", paramLabel = "HOST:PORT=SERVICE",
+            description = "Senders that are registered in Consul as this service; may be given again for further agents.")
+    private Map<String, String> consul = new TreeMap<>();
     @Option(names = "--file", paramLabel = "FILE", description = "Orders, one JSON object a line; - reads standard input.")
     private String file;
     @Option(names = "--class", paramLabel = "CLASS", description = "Of the orders that are given as arguments.")
@@ -156,21 +161,29 @@
     }
 
     private Senders list() {
-        if (to.isEmpty() == (senders == null)) {
-            throw new IllegalArgumentException("say where senders are: either --to HOST:PORT, or --senders FILE");
+        if ((to.isEmpty() ? 0 : 1) + (senders == null ? 0 : 1) + (consul.isEmpty() ? 0 : 1) != 1) {
+            throw new IllegalArgumentException("say where senders are: by --to HOST:PORT, --senders FILE or --consul "
+                    + "HOST:PORT=SERVICE");
         }
         if (senders != null) {
             return new SenderFile(senders);
         }
+        if (!consul.isEmpty()) {
+            return new ConsulSenders(addresses("--consul", consul.keySet()), consul.values().iterator().next());
+        }
+        return Senders.of(addresses("--to", to));
+    }
+
+    private static List<InetSocketAddress> addresses(String option, Collection<String> texts) {
         List<InetSocketAddress> addresses = new ArrayList<>();
-        for (String at : to) {
+        for (String at : texts) {
             try {
                 addresses.add(Config.address(at));
             } catch (BadInput bad) {
-                throw new IllegalArgumentException("--to: " + bad.getMessage(), bad);
+                throw new IllegalArgumentException(option + ": " + bad.getMessage(), bad);
             }
         }
-        return Senders.of(addresses);
+        return addresses;
     }
 
     private static ClassRule rule(String text) {
--- a/src/test/java/slipfield/client/ClientTest.java
+++ b/src/test/java/slipfield/client/ClientTest.java
@@ -8,6 +8,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -15,9 +22,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import javax.tools.ToolProvider;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+import slipfield.cli.Cli;
 import slipfield.client.decide.ClassRule;
 import slipfield.client.decide.End;
 import slipfield.client.decide.Rules;
@@ -35,6 +46,8 @@
 
     @TempDir
     Path folder;
+    private StringWriter out;
+    private StringWriter err;
     private TrialWorld world;
     private SenderProcess sender;
     private final List<Client> clients = new ArrayList<>();
@@ -160,4 +173,59 @@
         trueAndOnce(all);
         assertEquals(100, delivered(all));
     }
+
+    /** What the pages show compiles, and does what they say. */
+    @Test
+    void theExampleCompilesAndRuns() throws Exception {
+        start("ends: {}\n");
+        Path classes = Files.createDirectories(folder.resolve("classes"));
+        assertEquals(0, ToolProvider.getSystemJavaCompiler().run(null, null, null, "-Xlint:all", "-Werror", "-proc:none", "-d", classes.toString(),
+                "-cp", System.getProperty("java.class.path"), "docs/client/SubmitOrders.java"));
+        try (URLClassLoader loader = new URLClassLoader(new URL[] {classes.toUri().toURL()})) {
+            PrintStream before = System.out;
+            ByteArrayOutputStream printed = new ByteArrayOutputStream();
+            System.setOut(new PrintStream(printed, true, StandardCharsets.UTF_8));
+            try {
+                loader.loadClass("SubmitOrders").getMethod("main", String[].class)
+                        .invoke(null, (Object) new String[] {"127.0.0.1:" + world.sender().getPort()});
+            } finally {
+                System.setOut(before);
+            }
+            assertEquals(List.of("delivered", "delivered"), printed.toString(StandardCharsets.UTF_8).lines().toList());
+        }
+    }
+
+    @Test
+    void sendHandsAFileInAndTellsEachEnd() throws Exception {
+        start("ends: {}\n");
+        Path file = folder.resolve("orders.jsonl");
+        String line = "{\"class\":\"order\",\"tenant\":\"desk\",\"destination\":1,\"body\":\"b\",\"key\":\"k%d\"}\n";
+        StringBuilder lines = new StringBuilder();
+        for (int i = 0; i < 50; i++) {
+            lines.append(line.formatted(i));
+        }
+        Files.writeString(file, lines);
+        String at = "127.0.0.1:" + world.sender().getPort();
+        assertEquals(0, run("--to", at, "--file", file.toString(), "--rule", "order=keyed:10000", "--follow", "cli", "--within",
+                "9000", "--json"));
+        assertEquals(50, out.toString().lines().filter(l -> l.contains("\"end\":\"delivered\"")).count());
+        assertTrue(err.toString().contains("delivered: 50"), err.toString());
+        assertEquals(0, run("--to", at, "--class", "once", "--tenant", "desk", "--destination", "1", "--within", "9000", "body"));
+        assertTrue(out.toString().contains(" taken"), out.toString());
+        assertEquals(1, run("--to", at, "--class", "nonsense", "--tenant", "desk", "--destination", "1", "body"));
+        assertTrue(out.toString().contains("failed, never ran: 404"), out.toString());
+        Files.writeString(file, line.formatted(1) + "{\"class\":\"order\"}\n");
+        assertEquals(2, run("--to", at, "--file", file.toString()));
+        assertTrue(err.toString().contains("orders.jsonl:2: destination is missing"), err.toString());
+        assertEquals(2, run("--file", file.toString()));
+        assertEquals(2, run("--to", "sender:1", "--file", file.toString()));
+        assertEquals(2, run("--to", at, "--rule", "order=sometimes", "--file", file.toString()));
+    }
+
+    private int run(String... args) {
+        out = new StringWriter();
+        err = new StringWriter();
+        return new CommandLine(new Cli()).setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true))
+                .execute(Stream.concat(Stream.of("send"), Stream.of(args)).toArray(String[]::new));
+    }
 }
