--- a/src/main/java/slipfield/client/decide/Courier.java
+++ b/src/main/java/slipfield/client/decide/Courier.java
@@ -4,11 +4,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
@@ -44,14 +42,12 @@
     }
 
     private static final int MOST_DOUBLINGS = 10;
-    /** Connections being made to one sender at once. */
-    private static final int MOST_CONNECTING = 4;
 
     private final Rules rules;
     private final RandomGenerator random;
     private final Actions actions;
     private final Map<Long, Item> orders = new HashMap<>();
-    private final Map<String, Sender> senders = new LinkedHashMap<>();
+    private final Fleet fleet;
     /** May be handed in now, the one whose time is over first ahead. */
     private final TreeSet<Item> ready = new TreeSet<>(Item.BY_DEADLINE);
     /** May be handed in later. */
@@ -60,7 +56,6 @@
     private final TreeSet<Item> live = new TreeSet<>(Item.BY_END);
     /** Hand-ins out, by when their answer is no longer waited for. */
     private final TreeSet<Item> out = new TreeSet<>(Item.BY_ANSWER);
-    private final Waits<String> senderWaits = new Waits<>();
     private final Waits<String> destinationWaits = new Waits<>();
     private final Waits<String> tenantWaits = new Waits<>();
     private final RetryBudget budget;
@@ -120,6 +115,7 @@
         this.rules = rules;
         this.random = random;
         this.actions = actions;
+        this.fleet = new Fleet(rules, random, actions::connect);
         this.now = nowMs;
         this.budget = new RetryBudget(rules.retryShare(), rules.retryBurst(), nowMs);
         this.level = new Level(rules.leastInFlight(), rules.mostInFlight(), nowMs);
@@ -137,13 +133,7 @@
         if (names.isEmpty()) {
             return;
         }
-        Set<String> listed = new HashSet<>(names);
-        senders.values().forEach(s -> s.listed = listed.contains(s.name));
-        senders.values().removeIf(s -> !s.listed && s.connections() == 0);
-        for (String name : listed) {
-            // The first connection of a client's life waits for nothing.
-            senders.computeIfAbsent(name, n -> new Sender(n, now));
-        }
+        fleet.listed(now, names);
         pump();
     }
 
@@ -186,66 +176,41 @@
     /** A connection to this sender stands; of a trial: and it says that it is ready. */
     public void connected(long nowMs, String name) {
         at(nowMs);
-        Sender sender = senders.get(name);
-        if (sender == null) {
-            return;
-        }
-        sender.connecting = Math.max(0, sender.connecting - 1);
-        sender.idle++;
-        sender.failures = 0;
-        if (sender.state != Sender.State.UP) {
-            sender.state = Sender.State.UP;
-            sender.unanswered = 0;
-            sender.backMs = now;
-            sender.connectMs = now + refillMs(sender);
-        }
+        fleet.of(name).ifPresent(s -> fleet.connected(now, s));
         pump();
     }
 
     /** A connection did not come up, or the sender is not ready on it: it is closed. */
     public void connectFailed(long nowMs, String name) {
         at(nowMs);
-        Sender sender = senders.get(name);
-        if (sender == null) {
-            return;
-        }
-        sender.connecting = Math.max(0, sender.connecting - 1);
-        sender.failures++;
-        sender.connectMs = now + (rules.pauseMs() << Math.min(MOST_DOUBLINGS, sender.failures));
-        lost(sender);
+        fleet.of(name).ifPresent(s -> fleet.connectFailed(now, s));
         pump();
     }
 
     /** A connection was closed that no hand-in was out on; {@code inOrder}: the sender said so before. */
     public void closed(long nowMs, String name, boolean inOrder) {
         at(nowMs);
-        Sender sender = senders.get(name);
-        if (sender == null) {
-            return;
-        }
-        sender.idle = Math.max(0, sender.idle - 1);
-        if (inOrder) {
-            sender.drainingUntilMs = now + rules.drainMs();
-        }
-        lost(sender);
+        fleet.of(name).ifPresent(s -> {
+            s.idle = Math.max(0, s.idle - 1);
+            if (inOrder) {
+                fleet.drains(now, s);
+            }
+            fleet.lost(now, s);
+        });
         pump();
     }
 
     /** An idle connection was closed from this side, before the sender would: nothing is lost by it. */
     public void retired(long nowMs, String name) {
         at(nowMs);
-        Sender sender = senders.get(name);
-        if (sender != null) {
-            sender.idle = Math.max(0, sender.idle - 1);
-        }
+        fleet.of(name).ifPresent(s -> s.idle = Math.max(0, s.idle - 1));
     }
 
     /** A sender tells over what time its clients are to connect anew, in ms. */
     public void window(long nowMs, String name, long windowMs) {
         at(nowMs);
-        Sender sender = senders.get(name);
-        if (sender != null && windowMs >= 0) {
-            sender.toldWindowMs = Math.min(windowMs, rules.mostSpreadMs());
+        if (windowMs >= 0) {
+            fleet.of(name).ifPresent(s -> s.toldWindowMs = Math.min(windowMs, rules.mostSpreadMs()));
         }
     }
 
@@ -265,9 +230,9 @@
         unsend(item, stays);
         if (!stays) {
             if (inOrder) {
-                sender.drainingUntilMs = now + rules.drainMs();
+                fleet.drains(now, sender);
             }
-            lost(sender);
+            fleet.lost(now, sender);
         }
         settle(item, sender, heard, took, outBefore);
         pump();
@@ -288,7 +253,7 @@
                 actions.abandon(number, item.attempts);
                 Sender sender = item.at;
                 unsend(item, false);
-                lost(sender);
+                fleet.lost(now, sender);
             }
             item.taken = false;
             move(item, item.deadlineMs);
@@ -342,15 +307,7 @@
         if (!parked.isEmpty()) {
             next = Math.min(next, parked.first().notBeforeMs);
         }
-        for (Sender s : senders.values()) {
-            if (s.listed && s.state == Sender.State.AWAY) {
-                next = Math.min(next, s.connectMs);
-            }
-            if (!ready.isEmpty()) {
-                next = Math.min(next, opensMs(s));
-            }
-        }
-        return next;
+        return Math.min(next, fleet.nextMs(now, !ready.isEmpty()));
     }
 
     /** Orders without an end. */
@@ -370,18 +327,6 @@
 
     // ---- what it decides ----
 
-    /** When something changes at this sender for orders that are ready: a time after now. */
-    private long opensMs(Sender s) {
-        long next = Long.MAX_VALUE;
-        for (long at : new long[] {s.ejectedUntilMs, s.drainingUntilMs, senderWaits.until(s.name),
-                s.state == Sender.State.UP && s.connections() < rules.mostConnections() ? s.connectMs : 0}) {
-            if (at > now) {
-                next = Math.min(next, at);
-            }
-        }
-        return next;
-    }
-
     private void pump() {
         if (pumping || closed) {
             return;
@@ -389,7 +334,7 @@
         pumping = true;
         try {
             expire();
-            connect();
+            fleet.connect(now);
             while (!parked.isEmpty() && parked.first().notBeforeMs <= now) {
                 ready.add(parked.pollFirst());
             }
@@ -406,7 +351,7 @@
             actions.abandon(item.number, item.attempts);
             int outBefore = out.size();
             unsend(item, false);
-            lost(sender);
+            fleet.lost(now, sender);
             settle(item, sender, Heard.lost("no answer from " + sender.name + " in " + (now - item.sentMs) + " ms"),
                     now - item.sentMs, outBefore);
         }
@@ -416,7 +361,7 @@
                 actions.abandon(item.number, item.attempts);
                 Sender sender = item.at;
                 unsend(item, false);
-                lost(sender);
+                fleet.lost(now, sender);
                 item.firstBeforeMs = item.firstMs;
             }
             end(item, over(item, item.lastWhy.isEmpty() ? "its time is over" : "its time is over; " + item.lastWhy));
@@ -429,16 +374,6 @@
                 : item.firstMs >= 0 ? new End.Unknown(false, why) : new End.Failed(false, why);
     }
 
-    private void connect() {
-        for (Sender s : senders.values()) {
-            if (s.listed && s.state == Sender.State.AWAY && s.connectMs <= now) {
-                s.state = Sender.State.TRIAL;
-                s.connecting++;
-                actions.connect(s.name, true);
-            }
-        }
-    }
-
     private void handIn() {
         List<Item> later = new ArrayList<>();
         while (!ready.isEmpty() && out.size() < level.level()) {
@@ -455,7 +390,7 @@
                 end(item, over(item, "too late to hand it in again; " + item.lastWhy));
                 continue;
             }
-            Sender sender = pick();
+            Sender sender = fleet.pick(now, ready.size());
             if (sender == null) {
                 break;
             }
@@ -490,67 +425,14 @@
         actions.handIn(item.number, item.attempts, sender.name, until - now, item.again);
     }
 
-    /** The less loaded of two (Mitzenmacher 2001, "The power of two choices"), of those with an idle connection. */
-    private Sender pick() {
-        List<Sender> usable = new ArrayList<>();
-        List<Sender> leftAlone = new ArrayList<>();
-        for (Sender s : senders.values()) {
-            if (s.serves(now) && senderWaits.until(s.name) <= now) {
-                (s.ejected(now) ? leftAlone : usable).add(s);
-            }
-        }
-        if (usable.isEmpty() && !leftAlone.isEmpty()) {
-            // Left alone is better than none: the one whose time is over first.
-            usable.add(leftAlone.stream().min(Comparator.comparingLong(s -> s.ejectedUntilMs)).orElseThrow());
-        }
-        for (Sender s : usable) {
-            grow(s);
-        }
-        usable.removeIf(s -> s.idle == 0);
-        if (usable.size() <= 1) {
-            return usable.isEmpty() ? null : usable.get(0);
-        }
-        int first = random.nextInt(usable.size());
-        int second = random.nextInt(usable.size() - 1);
-        Sender a = usable.get(first);
-        Sender b = usable.get(second >= first ? second + 1 : second);
-        return a.load(now, rules.returnMs()) <= b.load(now, rules.returnMs()) ? a : b;
-    }
-
-    /** Opens a further connection where all are busy: after a return one by one over the window, then as needed. */
-    private void grow(Sender s) {
-        boolean refilling = now - s.backMs < window(s);
-        int atOnce = refilling ? 1 : MOST_CONNECTING;
-        if (s.idle == 0 && s.connections() < rules.mostConnections() && s.connecting < atOnce && now >= s.connectMs
-                && s.connecting < ready.size()) {
-            s.connecting++;
-            s.connectMs = refilling ? now + refillMs(s) : now;
-            actions.connect(s.name, false);
-        }
-    }
-
-    private long window(Sender s) {
-        return s.toldWindowMs >= 0 ? s.toldWindowMs : rules.spreadMs();
-    }
-
-    private long refillMs(Sender s) {
-        return window(s) / rules.mostConnections();
-    }
-
     /** Where every sender has told a wait, an order whose time is over before the first of them ends at once. */
     private void turnAwayThoseWhoCannotWait() {
-        long opens = Long.MAX_VALUE;
-        for (Sender s : senders.values()) {
-            if (!s.listed) {
-                continue;
-            }
-            if (!s.serves(now) || senderWaits.until(s.name) <= now) {
-                // Away, or about to drain: when it serves again nobody told.
-                return;
-            }
-            opens = Math.min(opens, senderWaits.until(s.name));
+        Optional<Long> first = fleet.opensMs(now);
+        if (first.isEmpty()) {
+            return;
         }
-        while (opens != Long.MAX_VALUE && !ready.isEmpty() && ready.first().deadlineMs - rules.leastBudgetMs() < opens) {
+        long opens = first.get();
+        while (!ready.isEmpty() && ready.first().deadlineMs - rules.leastBudgetMs() < opens) {
             Item item = ready.pollFirst();
             end(item, item.firstMs >= 0 ? over(item, "every sender told to wait; " + item.lastWhy)
                     : new End.Refused(opens - now, "every sender told to wait; " + item.lastWhy));
@@ -568,20 +450,6 @@
         }
     }
 
-    /** A connection is gone: where it was the last, the next one is planned. */
-    private void lost(Sender sender) {
-        if (sender.connections() > 0) {
-            return;
-        }
-        if (!sender.listed) {
-            senders.remove(sender.name);
-            return;
-        }
-        sender.state = Sender.State.AWAY;
-        sender.connectMs = Math.max(sender.drainingUntilMs, now)
-                + Spread.delay(rules, window(sender), sender.failures, random);
-    }
-
     private void settle(Item item, Sender sender, Heard heard, double took, int outBefore) {
         item.lastWhy = heard.why();
         if (heard.kind() == Heard.Kind.REFUSED && heard.waitMs() > 0) {
@@ -593,7 +461,7 @@
         }
         switch (heard.kind()) {
             case TAKEN -> {
-                answered(sender);
+                Fleet.answered(sender);
                 level.answered(now, took, outBefore);
                 item.fruitless = 0;
                 item.taken = true;
@@ -604,7 +472,7 @@
                 }
             }
             case REFUSED -> {
-                answered(sender);
+                Fleet.answered(sender);
                 item.firstMs = item.firstBeforeMs;
                 item.again = Again.REFUSED;
                 long until = now + heard.waitMs();
@@ -612,21 +480,21 @@
                     level.pushedBack(now);
                 }
                 End refused = new End.Refused(heard.waitMs(), heard.why());
-                boolean elsewhere = heard.scope() == Heard.Scope.SENDER && otherThan(sender);
+                boolean elsewhere = heard.scope() == Heard.Scope.SENDER && fleet.otherThan(now, sender);
                 again(item, elsewhere ? now : heard.waitMs() > 0 ? until : now + pause(item), refused);
             }
             case REJECTED -> {
-                answered(sender);
+                Fleet.answered(sender);
                 item.firstMs = item.firstBeforeMs;
                 end(item, item.firstMs >= 0 ? new End.Unknown(false, heard.why()) : new End.Failed(false, heard.why()));
             }
             case UNSENT -> {
-                unanswered(sender);
+                fleet.unanswered(now, sender);
                 item.firstMs = item.firstBeforeMs;
                 again(item, now + pause(item), new End.Failed(false, heard.why()));
             }
             case LOST -> {
-                unanswered(sender);
+                fleet.unanswered(now, sender);
                 level.pushedBack(now);
                 item.again = Again.UNHEARD;
                 again(item, now + pause(item), new End.Unknown(false, heard.why()));
@@ -637,36 +505,12 @@
     private void toldToWait(Item item, Sender sender, Heard heard) {
         long until = now + heard.waitMs();
         switch (heard.scope()) {
-            case SENDER -> senderWaits.told(now, sender.name, until);
+            case SENDER -> fleet.toldToWait(now, sender, until);
             case DESTINATION -> destinationWaits.told(now, item.destination, until);
             case TENANT -> tenantWaits.told(now, item.tenant, until);
         }
     }
 
-    private boolean otherThan(Sender sender) {
-        for (Sender s : senders.values()) {
-            if (s != sender && s.serves(now) && !s.ejected(now) && senderWaits.until(s.name) <= now) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private static void answered(Sender sender) {
-        sender.unanswered = 0;
-        sender.ejections = 0;
-    }
-
-    private void unanswered(Sender sender) {
-        if (++sender.unanswered >= rules.ejectAfter()) {
-            sender.unanswered = 0;
-            long ms = Math.min(rules.mostEjectMs(), rules.ejectMs() << Math.min(MOST_DOUBLINGS, sender.ejections));
-            sender.ejections++;
-            sender.ejectedUntilMs = now + ms;
-            sender.backMs = sender.ejectedUntilMs;
-        }
-    }
-
     /** Half of a doubled pause, and as much again by chance. */
     private long pause(Item item) {
         long whole = Math.min(rules.mostPauseMs(), rules.pauseMs() << Math.min(MOST_DOUBLINGS, item.fruitless));
