--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -36,12 +36,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.EnumMap;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
@@ -64,23 +60,9 @@
  */
 public final class Intake implements Front {
     private static final int LONGEST_BODY = 64 * 1024;
-    /** From connecting, or from a later request's first byte, until the request is whole. */
-    private static final long REQUEST_MS = 2000;
-    /** A connection between requests is kept for so long, lest those that ask once keep the others out. */
-    private static final long IDLE_MS = 2500;
-    /** From the answer to what is too long until the close: closing at once could reset it unread. */
-    private static final long LINGER_MS = 500;
     private static final long SWEEP_MS = 200;
     /** One in so many connections may follow ends. */
     private static final int FOLLOWERS = 4;
-    /**
-     * Share of the connections that may stand between requests; beyond it the one that stood longest is closed.
-     * Guards against clients that ask once on each connection and keep it: those who hand in messages have a
-     * bounded number of them, and find none left while we keep all for {@link #IDLE_MS}.
-     */
-    private static final double IDLE_SHARE = 0.45;
-    /** A connection is new for so long: its first request is mostly on its way. */
-    private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Reads of one connection before the next one's turn. */
     private static final int READS = 16;
     /**
@@ -97,8 +79,7 @@
     private final Reading reading;
     private final InetSocketAddress address;
     private final int mostClients;
-    /** The connections in each state, those that are in it longest first. */
-    private final Map<State, Set<Client>> clients = new EnumMap<>(State.class);
+    private final Crowd crowd;
     private final ServerBootstrap bootstrap;
     /** What was read and not looked at yet. */
     private final Deque<Pending> pending = new ArrayDeque<>();
@@ -140,9 +121,7 @@
         this.loop = loop;
         this.desk = desk;
         this.mostClients = mostClients;
-        for (State state : State.values()) {
-            clients.put(state, new LinkedHashSet<>());
-        }
+        this.crowd = new Crowd(mostClients);
         bootstrap = new ServerBootstrap().group(loop, loop)
                 .channelFactory(Listener::new)
                 .option(ChannelOption.SO_BACKLOG, 512)
@@ -186,7 +165,7 @@
 
     @Override
     public InetSocketAddress listen() throws IOException {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(crowd::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen at " + Config.hostPort(address) + ": " + bound.cause().getMessage()
@@ -203,6 +182,7 @@
     @Override
     public void close() {
         closing = true;
+        crowd.closing();
         hints.follow().ifPresent(Follow::release);
         try {
             listener.acceptRestAndClose();
@@ -259,7 +239,7 @@
 
     @Override
     public int clients() {
-        return clients.values().stream().mapToInt(Set::size).sum();
+        return crowd.size();
     }
 
     /** Whether a 202 waits for the journal on this connection, or for this id. */
@@ -291,36 +271,6 @@
         }
     }
 
-    private void sweep() {
-        long now = System.nanoTime();
-        clients.forEach((state, members) -> {
-            long limitMs = switch (state) {
-                case ENDING -> LINGER_MS;
-                case SILENT, ASKING -> REQUEST_MS;
-                case VISITING, IDLE -> closing ? Long.MAX_VALUE : IDLE_MS;
-                case FOLLOWING -> Long.MAX_VALUE;
-            };
-            members.stream().takeWhile(c -> TimeUnit.NANOSECONDS.toMillis(now - c.since) >= limitMs).toList()
-                    .forEach(Client::outOfTime);
-        });
-    }
-
-    /** What a connection is at, in the order in which they make room for others. */
-    private enum State {
-        /** The last answer is out; what still comes is not read. */
-        ENDING,
-        /** Nothing was asked yet, or only in part. */
-        SILENT,
-        /** Between requests, and none so far handed in a message: it asks for health, or for what is not there. */
-        VISITING,
-        /** Between requests, after a message. */
-        IDLE,
-        /** Waits for the ends of its messages. */
-        FOLLOWING,
-        /** A later request has come in part. */
-        ASKING
-    }
-
     /** Netty's decoder, which tells of first bytes and of what lies behind a whole request. */
     private final class Requests extends HttpRequestDecoder {
         private final Client client;
@@ -366,12 +316,10 @@
     }
 
     /** One connection of a client. */
-    private final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Client extends SimpleChannelInboundHandler<FullHttpRequest> implements Crowd.Guest {
         private final Channel channel;
         private final Requests requests = new Requests(this);
-        private State state = State.SILENT;
-        /** When the state began. */
-        private long since = System.nanoTime();
+        private final Crowd.Seat seat = new Crowd.Seat(this);
         /** A first byte has come of the request that is awaited. */
         private boolean begun;
         /** It has handed in a message. */
@@ -387,84 +335,47 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            clients.get(state).add(this);
-            if (clients() > mostClients) {
-                leastWanted().makeRoom();
-            }
+            crowd.came(seat);
         }
 
-        /**
-         * The first in the order of the states, the longest in it; but one that connected a moment ago may be
-         * about to ask, so visitors go before it. Guards against crowds that only connect, or only ask for
-         * health: while another sender is away they would push out all who hand in messages, who then connect
-         * again and push out each other.
-         */
-        private Client leastWanted() {
-            long now = System.nanoTime();
-            Client fresh = null;
-            for (Map.Entry<State, Set<Client>> members : clients.entrySet()) {
-                if (fresh != null && members.getKey().compareTo(State.VISITING) > 0) {
-                    return fresh;
-                }
-                for (Client c : members.getValue()) {
-                    if (c == this || c.unread > 0) {
-                        continue;
-                    }
-                    if (members.getKey() != State.SILENT || now - c.since >= FRESH_NANOS) {
-                        return c;
-                    }
-                    fresh = fresh == null ? c : fresh;
-                }
-            }
-            return fresh == null ? this : fresh;
+        @Override
+        public boolean hasUnread() {
+            return unread > 0;
         }
 
-        /** Gone at once: of a crowd that connects in one turn each must find another to take the place of. */
-        private void makeRoom() {
-            clients.get(state).remove(this);
+        @Override
+        public void makeRoom() {
             channel.close();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            clients.get(state).remove(this);
+            crowd.left(seat);
             if (asked != null) {
                 asked.cancel();
                 asked = null;
             }
         }
 
-        private void enter(State next) {
-            if (clients.get(state).remove(this)) {
-                clients.get(next).add(this);
-            }
-            state = next;
-            since = System.nanoTime();
-            Set<Client> idle = clients.get(State.IDLE);
-            if (next == State.IDLE && !closing && idle.size() > Math.max(1, IDLE_SHARE * mostClients)) {
-                for (Client longest : idle) {
-                    if (longest != this) {
-                        longest.makeRoom();
-                        break;
-                    }
-                }
-            }
-        }
-
         /** Bytes have come: the time of a request runs from its first, and it is not to make room for others. */
         private void begun() {
             begun = true;
-            if (state == State.IDLE || state == State.VISITING) {
-                enter(State.ASKING);
+            if (seat.state() == Crowd.State.IDLE || seat.state() == Crowd.State.VISITING) {
+                enter(Crowd.State.ASKING);
             }
         }
 
-        private void outOfTime() {
+        private void enter(Crowd.State next) {
+            crowd.enter(seat, next);
+        }
+
+        @Override
+        public void outOfTime() {
             if (unread > 0) {
                 // The sender is late, not the client.
                 return;
             }
-            if (begun && state != State.ENDING) {
+            if (begun && seat.state() != Crowd.State.ENDING) {
                 last(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
             } else {
                 channel.close();
@@ -473,7 +384,7 @@
 
         /** Answers what was not read to its end, and closes a little later. */
         private void last(HttpResponseStatus status, String text) {
-            enter(State.ENDING);
+            enter(Crowd.State.ENDING);
             channel.config().setAutoRead(false);
             FullHttpResponse answer = answer(status, text);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -486,12 +397,12 @@
                 // Answers go out in the order of a connection's requests.
                 settle();
             }
-            if (state == State.ENDING) {
+            if (seat.state() == Crowd.State.ENDING) {
                 // What lies behind the last request may have been hidden in its body.
                 return;
             }
             begun = requests.holdsMore();
-            enter(begun ? State.ASKING : customer ? State.IDLE : State.VISITING);
+            enter(begun ? Crowd.State.ASKING : customer ? Crowd.State.IDLE : Crowd.State.VISITING);
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
                 last(HttpResponseStatus.BAD_REQUEST, "not HTTP");
@@ -540,8 +451,8 @@
                 return;
             }
             customer = true;
-            if (state == State.VISITING) {
-                enter(State.IDLE);
+            if (seat.state() == Crowd.State.VISITING) {
+                enter(Crowd.State.IDLE);
             }
             Desk.Taking taking = desk.take(submission);
             if (taking.held().isPresent()) {
@@ -566,24 +477,24 @@
                 end(request, HttpResponseStatus.BAD_REQUEST, "/ends?client=NAME&after=CURSOR&wait_ms=N");
                 return;
             }
-            if (clients.get(State.FOLLOWING).size() >= Math.max(1, mostClients / FOLLOWERS)) {
+            if (crowd.in(Crowd.State.FOLLOWING) >= Math.max(1, mostClients / FOLLOWERS)) {
                 end(request, HttpResponseStatus.SERVICE_UNAVAILABLE, "too many follow");
                 return;
             }
             boolean keepAlive = HttpUtil.isKeepAlive(request);
-            enter(State.FOLLOWING);
+            enter(Crowd.State.FOLLOWING);
             // Read no further: its next request comes after this one's answer.
             channel.config().setAutoRead(false);
             String waitMs = parameter(query, "wait_ms");
             asked = ends.ask(peer, parameter(query, "after"), waitMs.isEmpty() ? 0 : Long.parseLong(waitMs), lines -> {
                 asked = null;
-                enter(State.IDLE);
+                enter(Crowd.State.IDLE);
                 channel.config().setAutoRead(true);
                 FullHttpResponse told = answer(HttpResponseStatus.OK, lines);
                 told.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson");
                 end(keepAlive, told);
             });
-            if (state != State.FOLLOWING) {
+            if (seat.state() != Crowd.State.FOLLOWING) {
                 asked = null;
             }
         }
@@ -604,7 +515,7 @@
             if (!closing && keepAlive) {
                 return channel.writeAndFlush(answer);
             }
-            enter(State.ENDING);
+            enter(Crowd.State.ENDING);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             return channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
         }
@@ -612,7 +523,7 @@
         /** A client that does not read its answers is not read either. */
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            channel.config().setAutoRead(channel.isWritable() && state != State.ENDING && state != State.FOLLOWING);
+            channel.config().setAutoRead(channel.isWritable() && seat.state() != Crowd.State.ENDING && seat.state() != Crowd.State.FOLLOWING);
         }
 
         @Override
