Client: a thousand of them come back to a killed sender, in the tests

Need: the hard case named by the issue, against the real program.

Change: 1,000 clients lose the sender; each connects again, orders handed over meanwhile end truly, connects that came to nothing are bounded.

--- a/src/test/java/slipfield/client/ClientTest.java
+++ b/src/test/java/slipfield/client/ClientTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.stream.Stream;
 import javax.tools.ToolProvider;
 import org.junit.jupiter.api.AfterEach;
@@ -174,6 +175,61 @@
         assertEquals(100, delivered(all));
     }
 
+    /** A thousand clients lose their sender and come back over the window that it told: none is left out, none comes twice. */
+    @Test
+    void aThousandClientsComeBackAndNoneIsLeftOut() throws Exception {
+        start("reconnect_within: 2s\n");
+        int many = 1000;
+        AtomicIntegerArray connects = new AtomicIntegerArray(many);
+        AtomicIntegerArray refused = new AtomicIntegerArray(many);
+        for (int i = 0; i < many; i++) {
+            int number = i;
+            client("desk-" + i, Rules.DEFAULT.atMost(1, 1), new Client.Observer() {
+                @Override
+                public void connected(String to) {
+                    connects.incrementAndGet(number);
+                }
+
+                @Override
+                public void lost(String to, String why) {
+                    refused.incrementAndGet(number);
+                }
+            });
+        }
+        awaitAll("all are there", connects, 1);
+        sender.kill();
+        for (int i = 0; i < many; i++) {
+            connects.set(i, 0);
+        }
+        List<Submission> all = new ArrayList<>();
+        for (Client client : clients) {
+            all.add(client.submit(order(TrialWorld.ONCE, 50_000)));
+        }
+        sender.start();
+        awaitAll("all are back", connects, 1);
+        for (Submission s : all) {
+            // A sender that has just started may be too slow for one: that is told, and it is not handed in again.
+            assertFalse(s.await(MOST_MS) instanceof End.Failed);
+        }
+        int tries = 0;
+        for (int i = 0; i < many; i++) {
+            tries += refused.get(i);
+        }
+        // While the sender was away each asked about twice a window, and not without a pause.
+        assertTrue(tries < 20 * many, "connects that came to nothing: " + tries);
+    }
+
+    private static void awaitAll(String what, AtomicIntegerArray counts, int least) throws Exception {
+        Stub.await(what, () -> {
+            for (int i = 0; i < counts.length(); i++) {
+                if (counts.get(i) < least) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
     /** What the pages show compiles, and does what they say. */
     @Test
     void theExampleCompilesAndRuns() throws Exception {
