--- a/src/main/java/slipfield/cli/TryCommand.java
+++ b/src/main/java/slipfield/cli/TryCommand.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -61,12 +63,17 @@
     @Option(names = "--consul", description = "Endpoints come from a stand-in Consul too: a venue flaps there every second, "
             + "another is put into maintenance, and Consul is away while the sender is started again.")
     private boolean consul;
+    @Option(names = "--library", description = "Orders come by the client library, which follows each to its end; without "
+            + "--json.")
+    private boolean library;
     @Option(names = "--json", paramLabel = "FILE", description = "Writes the result there too.")
     private Path json;
     @Option(names = "--folder", paramLabel = "FOLDER",
             description = "Where configuration, journal and logs go. Default: a new folder that is deleted after a good "
                     + "run")
     private Path folder;
+    /** With --library: who hands orders in. */
+    private LibraryDesks desks;
     private boolean maintained;
     private boolean consulAway;
 
@@ -74,6 +81,7 @@
     public Integer call() throws Exception {
         check(seconds >= 1 && seconds <= 3600, "--seconds is 1 to 3600");
         check(rate >= 1 && rate <= 20_000, "--rate is 1 to 20000");
+        check(!library || json == null, "--library writes no --json");
         check(killAt < seconds, "--kill-at is before --seconds");
         boolean own = folder == null;
         Path at = own ? Files.createTempDirectory("slipfield-try") : folder;
@@ -103,8 +111,14 @@
                 : Optional.empty();
         try (TrialWorld world = new TrialWorld(at, size, membership);
                 SenderProcess sender = new SenderProcess(at, List.of(), SenderProcess.SMALL)) {
+            if (library) {
+                Files.writeString(at.resolve("clients.yaml"), "reconnect_within: 300ms\nends: {keep: 1m}\n");
+            }
             sender.start();
             out().printf(Locale.ROOT, "The sender is up; %.0f orders a second for %d s.%n", rate, seconds);
+            if (library) {
+                return byLibrary(world, sender);
+            }
             world.desks().atRate(rate);
             play(world, sender);
             world.desks().stop();
@@ -113,6 +127,21 @@
         }
     }
 
+    private boolean byLibrary(TrialWorld world, SenderProcess sender) throws IOException, InterruptedException {
+        Map<String, Integer> ends = new TreeMap<>();
+        try (LibraryDesks byClient = new LibraryDesks(world.sender(), rate, GIVE_UP_MS)) {
+            desks = byClient;
+            play(world, sender);
+            List<String> faults = byClient.faults(world.ledger(), ends);
+            out().println();
+            ends.forEach((end, many) -> out().printf("%-12s %8d%n", end, many));
+            faults.stream().limit(10).forEach(out()::println);
+            out().println(faults.isEmpty() ? "GOOD: every order has one end that agrees with the venues, none ran against its class."
+                    : "BAD: see above.");
+            return faults.isEmpty() && ends.getOrDefault("delivered", 0) > 0;
+        }
+    }
+
     private void play(TrialWorld world, SenderProcess sender) throws IOException, InterruptedException {
         double kill = killAt < 0 ? seconds / 2.0 : killAt;
         Venue moody = world.venues().get(0);
@@ -145,6 +174,11 @@
         Histogram latency = world.ledger().latency();
         String venues = world.venues().stream().map(v -> v.id() + " " + v.mood().name().toLowerCase(Locale.ROOT))
                 .collect(Collectors.joining(", "));
+        if (desks != null) {
+            out().printf(Locale.ROOT, "%5.1f s  %s  %s%n", t, desks.soFar(), venues);
+            out().flush();
+            return;
+        }
         out().printf(Locale.ROOT, "%5.1f s  taken %d  delivered %d  refused %d  failed %d  p50 %.1f ms  p99 %.1f ms  %s%n",
                 t, a.taken(), a.delivered(), a.refused(), a.failed(), latency.getValueAtPercentile(50) / 1e3,
                 latency.getValueAtPercentile(99) / 1e3, venues);
--- a/src/test/java/slipfield/cli/CliTest.java
+++ b/src/test/java/slipfield/cli/CliTest.java
@@ -139,6 +139,13 @@
         assertEquals(2, run("members", folder.toString()));
     }
 
+    @Test
+    void aTryByTheLibraryEndsInAGoodVerdict() throws Exception {
+        assertEquals(0, run("try", "--library", "--seconds", "4", "--rate", "100"), out.toString() + err);
+        assertTrue(out.toString().contains("GOOD: every order has one end"), out.toString());
+        assertEquals(2, run("try", "--library", "--json", "x"));
+    }
+
     @Test
     void aFileOfBeforeIsConvertedToOneThatIsRead() throws Exception {
         Path old = folder.resolve("members.conf");
