--- a/src/test/java/slipfield/client/decide/World.java
+++ b/src/test/java/slipfield/client/decide/World.java
@@ -110,11 +110,11 @@
                 break;
             }
             now = next;
+            courier.tick(now);
             while (!events.isEmpty() && events.peek().at <= now) {
                 events.poll().what.run();
             }
-            // A clock that is set back must change nothing.
-            courier.tick(random.nextInt(20) == 0 ? now - random.nextInt(5000) : now);
+            courier.tick(told());
             courier.tick(now);
             fault(courier.nextMs() <= now, "the courier has something to do at once, and does it not");
         }
@@ -127,6 +127,11 @@
         return faults;
     }
 
+    /** The time, or now and then an earlier one: a clock that is set back must change nothing. */
+    private long told() {
+        return random.nextInt(20) == 0 ? now - random.nextInt(5000) : now;
+    }
+
     private void in(long ms, Runnable what) {
         events.add(new Event(now + ms, sequence++, what));
     }
@@ -144,7 +149,7 @@
                     int open = node.connections;
                     node.connections = 0;
                     for (int i = 0; i < open; i++) {
-                        courier.closed(now, node.name, random.nextInt(5) == 0);
+                        courier.closed(told(), node.name, random.nextInt(5) == 0);
                     }
                 }
             });
@@ -168,7 +173,7 @@
                     : broken == Broken.WHOLE_TIME_AS_BUDGET ? ClassRule.safe()
                     : new ClassRule(Effect.KEYED, WINDOW_MS, random.nextInt(4) > 0);
         };
-        courier.submit(now, number, rule, order.destination, order.tenant, within);
+        courier.submit(told(), number, rule, order.destination, order.tenant, within);
         if (random.nextInt(10) == 0) {
             in(random.nextInt(3000), () -> {
                 if (!order.ended && courier.cancel(now, number)) {
@@ -256,7 +261,7 @@
         if (!stays) {
             nodes.get(sender).connections = Math.max(0, nodes.get(sender).connections - 1);
         }
-        courier.heard(now, number, attempt, heard, stays, false);
+        courier.heard(told(), number, attempt, heard, stays, false);
     }
 
     /** A sender has it: it runs once, or not, within its budget; and the client may hear of its end. */
@@ -277,7 +282,7 @@
                     // Not run, and proved so: this copy is out of the account.
                     o.mayHaveRun.remove(attempt);
                 }
-                courier.ended(now, number, attempt, runs ? new End.Delivered() : luck == 8 ? new End.Refused(random.nextInt(500), "")
+                courier.ended(told(), number, attempt, runs ? new End.Delivered() : luck == 8 ? new End.Refused(random.nextInt(500), "")
                         : new End.Failed(true, "dead"));
             });
         }
@@ -297,9 +302,9 @@
             Node node = nodes.get(sender);
             if (node.up && !(trial && node.silent)) {
                 node.connections++;
-                courier.connected(now, sender);
+                courier.connected(told(), sender);
             } else {
-                courier.connectFailed(now, sender);
+                courier.connectFailed(told(), sender);
             }
         });
     }
