An order refused by one sender waits for another that is not up yet; close may be called twice

Need: on a fresh clone, with cores to share, two tests of the client failed that had passed before.

Cause: a refusal with a long wait ended its order at once where the other sender was still connecting; and a client closed for the second time asked an event loop that had ended.

Change: another sender that told no wait is reason to wait, up or not; a second close does nothing.

--- a/src/main/java/slipfield/client/Client.java
+++ b/src/main/java/slipfield/client/Client.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import slipfield.client.decide.Courier;
 import slipfield.client.decide.End;
 import slipfield.client.decide.Heard;
@@ -50,6 +51,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long startNanos = System.nanoTime();
+    private final AtomicBoolean closing = new AtomicBoolean();
     private final Courier courier;
     private final Map<String, Submission> byKey = new ConcurrentHashMap<>();
     private final Follower follower;
@@ -382,6 +384,9 @@
     /** Ends each order that has no end yet, told with whether it may have run, and lets go of all connections. */
     @Override
     public void close() {
+        if (!closing.compareAndSet(false, true)) {
+            return;
+        }
         settings.senders().close();
         CompletableFuture<Void> done = new CompletableFuture<>();
         loop.execute(() -> {
--- a/src/main/java/slipfield/client/decide/Fleet.java
+++ b/src/main/java/slipfield/client/decide/Fleet.java
@@ -185,10 +185,10 @@
                 + Spread.delay(rules, window(sender), sender.failures, random);
     }
 
-    /** Whether another one could be asked now. */
+    /** Whether another one may be asked, now or once it is up: one that told no wait. */
     boolean otherThan(long now, Sender sender) {
         for (Sender s : senders.values()) {
-            if (s != sender && open(now, s) && !s.ejected(now)) {
+            if (s != sender && s.listed && waits.until(s.name) <= now) {
                 return true;
             }
         }
