--- a/src/main/java/slipfield/client/decide/Courier.java
+++ b/src/main/java/slipfield/client/decide/Courier.java
@@ -310,21 +310,6 @@
         return Math.min(next, fleet.nextMs(now, !ready.isEmpty()));
     }
 
-    /** Orders without an end. */
-    public int open() {
-        return live.size();
-    }
-
-    /** Hand-ins out, and how many there may be. */
-    public int out() {
-        return out.size();
-    }
-
-    /** How many hand-ins may be out now. */
-    public int level() {
-        return level.level();
-    }
-
     // ---- what it decides ----
 
     private void pump() {
