--- /dev/null
+++ b/src/main/java/slipfield/amqp/codec/FrameDecoder.java
@@ -0,0 +1,123 @@
+package slipfield.amqp.codec;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.util.List;
+
+/**
+ * Reads frames. What can't be one is fired as an {@link AmqpError} through the pipeline, once, and nothing behind it is
+ * read: where frames begin is not known any more.
+ */
+public final class FrameDecoder extends ByteToMessageDecoder {
+    /** Type, channel, length before the payload, and the end octet behind it. */
+    static final int OVERHEAD = 8;
+    static final int FRAME_END = 0xCE;
+    static final int METHOD = 1;
+    static final int HEADER = 2;
+    static final int BODY = 3;
+    static final int HEARTBEAT = 8;
+    /** No connection may be told less: specification 4.2.3. */
+    public static final int LEAST_FRAME_MAX = 4096;
+    private static final int BASIC = 60;
+    private static final byte[] PROTOCOL = {'A', 'M', 'Q', 'P', 0, 0, 9, 1};
+
+    private boolean awaitsProtocol;
+    private boolean spoilt;
+    private int frameMax = LEAST_FRAME_MAX;
+
+    /** {@code server}: the eight octets of the protocol come first. */
+    public FrameDecoder(boolean server) {
+        awaitsProtocol = server;
+    }
+
+    /** From now on a frame may have so many octets, all counted. */
+    public void frameMax(int octets) {
+        frameMax = octets;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (spoilt) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        try {
+            Frame frame = awaitsProtocol ? protocol(in) : frame(in);
+            if (frame != null) {
+                out.add(frame);
+            }
+        } catch (AmqpError e) {
+            spoilt = true;
+            in.skipBytes(in.readableBytes());
+            out.add(e);
+        }
+    }
+
+    private Frame protocol(ByteBuf in) throws AmqpError {
+        for (int i = 0; i < Math.min(PROTOCOL.length, in.readableBytes()); i++) {
+            if (in.getByte(in.readerIndex() + i) != PROTOCOL[i]) {
+                throw new AmqpError(ReplyCode.FRAME_ERROR, "not AMQP 0-9-1");
+            }
+        }
+        if (in.readableBytes() < PROTOCOL.length) {
+            return null;
+        }
+        in.skipBytes(PROTOCOL.length);
+        awaitsProtocol = false;
+        return new Frame.ProtocolHeader();
+    }
+
+    private Frame frame(ByteBuf in) throws AmqpError {
+        if (in.readableBytes() < OVERHEAD - 1) {
+            return null;
+        }
+        int at = in.readerIndex();
+        long length = in.getUnsignedInt(at + 3);
+        if (length > frameMax - OVERHEAD) {
+            throw new AmqpError(ReplyCode.FRAME_ERROR, "a frame of " + length + " octets, over the " + frameMax
+                    + " that were agreed on; split the body");
+        }
+        if (in.readableBytes() < length + OVERHEAD) {
+            return null;
+        }
+        int type = in.readUnsignedByte();
+        int channel = in.readUnsignedShort();
+        in.skipBytes(4);
+        ByteBuf payload = in.readSlice((int) length);
+        if (in.readUnsignedByte() != FRAME_END) {
+            throw new AmqpError(ReplyCode.FRAME_ERROR, "no frame end where the frame's length puts it");
+        }
+        return switch (type) {
+            case METHOD -> new Frame.OfMethod(channel, Method.read(payload));
+            case HEADER -> header(channel, payload);
+            case BODY -> new Frame.OfBody(channel, payload.retain());
+            case HEARTBEAT -> heartbeat(channel, payload);
+            default -> throw new AmqpError(ReplyCode.FRAME_ERROR, "no frame type " + type);
+        };
+    }
+
+    private static Frame header(int channel, ByteBuf payload) throws AmqpError {
+        if (payload.readableBytes() < 12) {
+            throw new AmqpError(ReplyCode.FRAME_ERROR, "a content header of " + payload.readableBytes() + " octets");
+        }
+        int classId = payload.readUnsignedShort();
+        int weight = payload.readUnsignedShort();
+        long size = payload.readLong();
+        if (classId != BASIC || weight != 0 || size < 0) {
+            throw new AmqpError(ReplyCode.SYNTAX_ERROR, "a content header of class " + classId + ", weight " + weight);
+        }
+        Properties properties = Properties.read(payload);
+        if (payload.isReadable()) {
+            throw new AmqpError(ReplyCode.SYNTAX_ERROR, payload.readableBytes() + " octets behind a content header");
+        }
+        return new Frame.OfHeader(channel, size, properties);
+    }
+
+    private static Frame heartbeat(int channel, ByteBuf payload) throws AmqpError {
+        if (channel != 0 || payload.isReadable()) {
+            throw new AmqpError(ReplyCode.FRAME_ERROR, "a heartbeat with a channel or a payload");
+        }
+        return new Frame.Heartbeat();
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/amqp/decide/Consumers.java
@@ -0,0 +1,92 @@
+package slipfield.amqp.decide;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+
+/**
+ * Consumers of queues as endpoints of their destinations. One that leaves is out of service at once, and is remembered for a
+ * while: if it comes again under its name it is the endpoint that it was, and what was learnt of it holds. So a consumer
+ * that fell and returns cold gets what a returning endpoint gets, no more.
+ */
+public final class Consumers {
+    /**
+     * An endpoint, as the list is to have it.
+     *
+     * @param name of the endpoint: queue, user, and the consumer's own tag
+     */
+    public record Entry(String name, String queue, boolean serving, boolean gone) {
+    }
+
+    private record Known(String queue, boolean here, boolean exclusive, double leftMs) {
+    }
+
+    private final double awayMs;
+    private final Map<String, Known> known = new LinkedHashMap<>();
+    private final Map<String, Integer> here = new HashMap<>();
+
+    /** {@code awayMs}: one that left is remembered for so long. */
+    public Consumers(double awayMs) {
+        this.awayMs = awayMs;
+    }
+
+    /** An endpoint's name: stable where the consumer chose its own tag. */
+    public static String name(String queue, String user, String tag) {
+        return queue + "/" + user + "/" + tag;
+    }
+
+    /** Whether a consumer may come: none but it where one is exclusive, and each name once. */
+    public boolean mayCome(String name, String queue, boolean exclusive) {
+        if (exclusive && here.getOrDefault(queue, 0) > 0) {
+            return false;
+        }
+        for (Map.Entry<String, Known> k : known.entrySet()) {
+            boolean other = k.getValue().here && k.getValue().queue.equals(queue);
+            if (other && (k.getValue().exclusive || k.getKey().equals(name))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** It came. */
+    public Entry came(String name, String queue, boolean exclusive) {
+        known.put(name, new Known(queue, true, exclusive, 0));
+        here.merge(queue, 1, Integer::sum);
+        return new Entry(name, queue, true, false);
+    }
+
+    /** It left: cancelled, or its channel is gone. */
+    public Entry left(String name, double now) {
+        Known k = known.get(name);
+        known.put(name, new Known(k.queue, false, false, now));
+        here.merge(k.queue, -1, Integer::sum);
+        return new Entry(name, k.queue, false, false);
+    }
+
+    /** Those that have been away for too long, and are forgotten. */
+    public List<Entry> forgotten(double now) {
+        List<Entry> gone = new ArrayList<>();
+        known.entrySet().removeIf(e -> {
+            boolean old = !e.getValue().here && now - e.getValue().leftMs >= awayMs;
+            if (old) {
+                gone.add(new Entry(e.getKey(), e.getValue().queue, false, true));
+            }
+            return old;
+        });
+        return gone;
+    }
+
+    /** When {@link #forgotten} has something to tell next; empty: unless something changes, never. */
+    public OptionalDouble nextMs() {
+        return known.values().stream().filter(k -> !k.here).mapToDouble(k -> k.leftMs + awayMs).min();
+    }
+
+    /** How many consume a queue now. */
+    public int here(String queue) {
+        return here.getOrDefault(queue, 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -0,0 +1,272 @@
+package slipfield.amqp.server;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import slipfield.amqp.codec.FrameDecoder;
+import slipfield.amqp.codec.FrameEncoder;
+import slipfield.amqp.decide.Backpressure;
+import slipfield.amqp.decide.LoginGuard;
+import slipfield.config.Config;
+import slipfield.log.Log;
+
+/** The listener and its connections, on the core's loop. */
+public final class AmqpServer {
+    /**
+     * Frames that are looked at in one turn, one of each connection in turn. Guards against a crowd whose publishes would
+     * hold up what is due: the turn's ends, notices and calls go out before the next ones are looked at.
+     */
+    private static final int TAKEN_IN_TURN = 64;
+    private static final long SWEEP_MS = 100;
+    private static final int CHECKS_AT_ONCE = 1;
+    private static final int CHECKS_WAITING = 64;
+    private static final int FLUSH_AFTER = 256;
+    private static final int LOW_WATER = 32 * 1024;
+    private static final int HIGH_WATER = 256 * 1024;
+
+    private final EventLoop loop;
+    private final AmqpConfig config;
+    private final String epoch;
+    private final Backpressure pressure;
+    private final LoginGuard guard = new LoginGuard(CHECKS_AT_ONCE, CHECKS_WAITING);
+    private final Deque<Runnable> waitingLogins = new ArrayDeque<>();
+    private final Map<Integer, ServerConnection> connections = new LinkedHashMap<>();
+    private final Deque<ServerConnection> pending = new ArrayDeque<>();
+    private final List<Channel> listeners = new ArrayList<>();
+    private ExecutorService checks;
+    private Publishing publishing;
+    private Consuming consuming;
+    private int lastConnection;
+    private boolean taking;
+    private boolean closing;
+    private double closingSince;
+
+    /** {@code epoch}: another in each life of the sender. */
+    public AmqpServer(EventLoop loop, AmqpConfig config, String epoch) {
+        this.loop = loop;
+        this.config = config;
+        this.epoch = epoch;
+        this.pressure = new Backpressure(config.limits().each(), config.limits().all());
+    }
+
+    /** Who takes what is published, and who has messages for consumers. */
+    public void over(Publishing front, Consuming transport) {
+        publishing = front;
+        consuming = transport;
+    }
+
+    /** Begins to listen, and waits until it does. */
+    public List<InetSocketAddress> listen() throws IOException {
+        checks = Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "amqp-logins");
+            thread.setDaemon(true);
+            return thread;
+        });
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        if (config.listen().isPresent()) {
+            addresses.add(bind(config.listen().get(), channel -> { }));
+        }
+        if (config.tls().isPresent()) {
+            AmqpConfig.Tls tls = config.tls().get();
+            SslContextBuilder builder = SslContextBuilder.forServer(tls.certificate().toFile(), tls.key().toFile());
+            tls.clients().ifPresent(clients -> builder.trustManager(clients.toFile()).clientAuth(ClientAuth.OPTIONAL));
+            SslContext context = builder.build();
+            addresses.add(bind(tls.listen(), channel -> channel.pipeline().addLast(context.newHandler(channel.alloc()))));
+        }
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        return addresses;
+    }
+
+    private InetSocketAddress bind(InetSocketAddress address, Consumer<Channel> first) throws IOException {
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        first.accept(channel);
+                        accept(channel);
+                    }
+                }).bind(address).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("AMQP can't listen at " + Config.hostPort(address) + ": " + bound.cause().getMessage()
+                    + "; set another `listen` in the file of AMQP");
+        }
+        listeners.add(bound.channel());
+        return (InetSocketAddress) bound.channel().localAddress();
+    }
+
+    private void accept(Channel channel) {
+        if (closing || connections.size() >= config.limits().connections()) {
+            channel.close();
+            return;
+        }
+        FrameDecoder decoder = new FrameDecoder(true);
+        FrameEncoder encoder = new FrameEncoder();
+        ServerConnection connection = new ServerConnection(this, ++lastConnection, channel, decoder, encoder);
+        connections.put(lastConnection, connection);
+        channel.pipeline().addLast(new FlushConsolidationHandler(FLUSH_AFTER, true), decoder, encoder, connection);
+    }
+
+    /** Takes no new connection; each that stands is closed with reply code 320 once nothing of it is out. */
+    public void close() {
+        closing = true;
+        closingSince = nowMs();
+        listeners.forEach(Channel::close);
+        sweep();
+    }
+
+    /** Connections with something out, and those that are being closed. */
+    public int busy() {
+        return connections.size();
+    }
+
+    /** What stands, for people: a line for each connection. */
+    public List<String> report() {
+        return connections.values().stream().map(ServerConnection::report).toList();
+    }
+
+    void gone(ServerConnection connection) {
+        connections.remove(connection.id());
+        pending.remove(connection);
+        pressure.gone(connection.id());
+    }
+
+    /** A connection has frames that were not looked at yet. */
+    void pending(ServerConnection connection) {
+        pending.addLast(connection);
+        if (!taking) {
+            taking = true;
+            loop.execute(this::takeSome);
+        }
+    }
+
+    private void takeSome() {
+        for (int i = 0; i < TAKEN_IN_TURN && !pending.isEmpty(); i++) {
+            ServerConnection first = pending.pollFirst();
+            if (first.takeOne()) {
+                pending.addLast(first);
+            }
+        }
+        publishing.turned();
+        taking = !pending.isEmpty();
+        if (taking) {
+            // Not at once: the sockets are looked at in between, for the list and for answers.
+            loop.schedule(this::takeSome, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void sweep() {
+        double now = nowMs();
+        List.copyOf(connections.values()).forEach(c -> c.sweep(now));
+        if (closing) {
+            boolean published = connections.values().stream().anyMatch(ServerConnection::owes);
+            List.copyOf(connections.values()).forEach(c -> c.closeIdle(published, now - closingSince));
+        }
+    }
+
+    /** Loads have changed: some may be read again. */
+    void relieved() {
+        for (int id : pressure.paused()) {
+            ServerConnection connection = connections.get(id);
+            if (connection != null) {
+                connection.updateReading();
+            }
+        }
+    }
+
+    /** Checks a login; {@code then} is told, on the loop, whether it is right: a wrong one only after a while. */
+    void login(Login login, Consumer<Boolean> then) {
+        AmqpConfig.User user = config.users().get(login.name());
+        if (login.password().isEmpty()) {
+            then.accept(user != null);
+            return;
+        }
+        switch (guard.tries(login.name())) {
+            case CHECK -> check(login, user, then);
+            case WAIT -> waitingLogins.add(() -> {
+                guard.waited(login.name());
+                check(login, user, then);
+            });
+            case TURN_AWAY -> then.accept(false);
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    private void check(Login login, AmqpConfig.User user, Consumer<Boolean> then) {
+        checks.execute(() -> {
+            // An unknown name costs what a known one does: else names could be told by the time that an answer takes.
+            boolean known = user != null && user.secret().isPresent();
+            Secret secret = known ? user.secret().get() : Nobody.SECRET;
+            boolean right = secret.matches(login.password().get()) && known;
+            loop.execute(() -> checked(login, right, then));
+        });
+    }
+
+    /** Made when it is first needed, and on the thread that needs it. */
+    private static final class Nobody {
+        private static final Secret SECRET = Secret.of("");
+    }
+
+    private void checked(Login login, boolean right, Consumer<Boolean> then) {
+        if (guard.checked()) {
+            waitingLogins.pollFirst().run();
+        }
+        if (right) {
+            then.accept(true);
+            return;
+        }
+        Log.warn("amqp.login_refused", "user", login.name());
+        loop.schedule(() -> then.accept(false), (long) guard.wrong(login.name(), nowMs()), TimeUnit.MILLISECONDS);
+    }
+
+    double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    AmqpConfig config() {
+        return config;
+    }
+
+    String epoch() {
+        return epoch;
+    }
+
+    Backpressure pressure() {
+        return pressure;
+    }
+
+    Publishing publishing() {
+        return publishing;
+    }
+
+    Consuming consuming() {
+        return consuming;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/amqp/server/Publication.java
@@ -0,0 +1,12 @@
+package slipfield.amqp.server;
+
+import slipfield.amqp.codec.Properties;
+
+/**
+ * A message as it was published.
+ *
+ * @param tag its number on its channel, or 0 outside confirm mode
+ */
+public record Publication(long tag, AmqpConfig.User user, String exchange, String routingKey, Properties properties,
+        byte[] body) {
+}
--- /dev/null
+++ b/src/main/java/slipfield/amqp/server/ServerChannel.java
@@ -0,0 +1,410 @@
+package slipfield.amqp.server;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import slipfield.amqp.codec.AmqpError;
+import slipfield.amqp.codec.Frame;
+import slipfield.amqp.codec.Method;
+import slipfield.amqp.codec.MethodId;
+import slipfield.amqp.codec.Properties;
+import slipfield.amqp.codec.ReplyCode;
+import slipfield.amqp.decide.Assembly;
+import slipfield.amqp.decide.Confirms;
+import slipfield.amqp.decide.Deliveries;
+
+/** A channel: what is published on it and confirmed, and what its consumers have out. */
+final class ServerChannel implements Publisher {
+    private final ServerConnection connection;
+    private final int number;
+    private final Deliveries<Subscription.Delivered> deliveries;
+    private final Map<String, Subscription> subscriptions = new HashMap<>();
+    private final Confirms confirms = new Confirms();
+    private final Assembly assembly;
+    private final AmqpConfig config;
+    /** Published and without an end, outside confirm mode too. */
+    private final Set<Publication> open = Collections.newSetFromMap(new IdentityHashMap<>());
+    private Method publish;
+    private Properties properties;
+    private byte[] body;
+    private int filled;
+    private boolean confirming;
+    private boolean closing;
+    private int ownTags;
+
+    ServerChannel(ServerConnection connection, int number) {
+        this.connection = connection;
+        this.number = number;
+        this.config = connection.server().config();
+        this.deliveries = new Deliveries<>(config.limits().prefetch());
+        this.assembly = new Assembly(config.limits().bodyOctets());
+    }
+
+    int number() {
+        return number;
+    }
+
+    AmqpConfig.User user() {
+        return connection.user();
+    }
+
+    Deliveries<Subscription.Delivered> deliveries() {
+        return deliveries;
+    }
+
+    boolean writable() {
+        return connection.writable() && !closing;
+    }
+
+    double nowMs() {
+        return connection.server().nowMs();
+    }
+
+    ChannelFuture send(Frame frame) {
+        return connection.write(frame);
+    }
+
+    private void answer(MethodId id, Object... arguments) {
+        connection.send(number, id, arguments);
+    }
+
+    // ---- what comes ----
+
+    void take(Frame frame) throws AmqpError {
+        if (closing) {
+            // What was on its way before the peer has heard of the close: specification, channel.close.
+            closing(frame);
+        } else if (frame instanceof Frame.OfMethod m) {
+            step(assembly.method(m.method().id().hasContent()), m.method().id());
+            method(m.method());
+        } else if (frame instanceof Frame.OfHeader h) {
+            Assembly.Step step = step(assembly.header(h.bodySize()), MethodId.BASIC_PUBLISH);
+            if (!connection.server().pressure().begins(connection.id(), h.bodySize())) {
+                throw new AmqpError(ReplyCode.RESOURCE_ERROR, "too many bodies are begun at once; send each whole",
+                        MethodId.BASIC_PUBLISH);
+            }
+            properties = h.properties();
+            body = new byte[(int) h.bodySize()];
+            filled = 0;
+            whole(step);
+        } else if (frame instanceof Frame.OfBody b) {
+            try {
+                int octets = b.octets().readableBytes();
+                Assembly.Step step = step(assembly.body(octets), MethodId.BASIC_PUBLISH);
+                b.octets().readBytes(body, filled, octets);
+                filled += octets;
+                whole(step);
+            } finally {
+                b.octets().release();
+            }
+        }
+    }
+
+    private void closing(Frame frame) {
+        if (frame instanceof Frame.OfBody b) {
+            ReferenceCountUtil.release(b.octets());
+        } else if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CHANNEL_CLOSE_OK) {
+            connection.closed(number);
+        } else if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CHANNEL_CLOSE) {
+            answer(MethodId.CHANNEL_CLOSE_OK);
+        }
+    }
+
+    private Assembly.Step step(Assembly.Step step, MethodId of) throws AmqpError {
+        switch (step) {
+            case UNEXPECTED -> throw new AmqpError(ReplyCode.UNEXPECTED_FRAME, assembly.awaits()
+                    .map(what -> what + " had to come").orElse("content without its method"), of);
+            case OVERRUN -> throw new AmqpError(ReplyCode.FRAME_ERROR, "a body of more octets than its header told", of);
+            case TOO_LARGE -> throw new AmqpError(ReplyCode.CONTENT_TOO_LARGE, "a body over "
+                    + config.limits().bodyOctets() + " octets; the operator's file may allow more (body_octets)", of);
+            default -> {
+                return step;
+            }
+        }
+    }
+
+    private void whole(Assembly.Step step) {
+        if (step != Assembly.Step.WHOLE) {
+            return;
+        }
+        Publication publication = new Publication(confirming ? confirms.published() : 0, user(),
+                publish.text("exchange"), publish.text("routing-key"), properties, body);
+        connection.server().pressure().whole(connection.id(), body.length);
+        body = null;
+        open.add(publication);
+        load(1, publication);
+        connection.server().publishing().published(this, publication);
+    }
+
+    private void load(int sign, Publication publication) {
+        connection.server().pressure().changed(connection.id(), sign, sign * (long) publication.body().length);
+        connection.updateReading();
+        if (sign < 0) {
+            connection.server().relieved();
+        }
+    }
+
+    private void method(Method method) throws AmqpError {
+        MethodId id = method.id();
+        switch (id) {
+            case CHANNEL_CLOSE -> {
+                end();
+                answer(MethodId.CHANNEL_CLOSE_OK);
+                connection.closed(number);
+            }
+            case CHANNEL_FLOW -> {
+                deliveries.flow(method.flag("active"));
+                answer(MethodId.CHANNEL_FLOW_OK, method.flag("active"));
+                room();
+            }
+            case CHANNEL_FLOW_OK, CHANNEL_CLOSE_OK -> { }
+            case EXCHANGE_DECLARE -> declare(method);
+            case QUEUE_DECLARE -> queue(method);
+            case QUEUE_BIND -> bind(method);
+            case EXCHANGE_DELETE, EXCHANGE_BIND, EXCHANGE_UNBIND, QUEUE_DELETE, QUEUE_UNBIND, QUEUE_PURGE ->
+                throw new AmqpError(ReplyCode.ACCESS_REFUSED, id + ": exchanges, queues and bindings are in the operator's "
+                        + "file alone; change them there", id);
+            case BASIC_QOS -> {
+                if (method.number("prefetch-size") != 0) {
+                    throw new AmqpError(ReplyCode.NOT_IMPLEMENTED, "prefetch by octets; set prefetch-count alone", id);
+                }
+                deliveries.qos((int) method.number("prefetch-count"), method.flag("global"));
+                answer(MethodId.BASIC_QOS_OK);
+                room();
+            }
+            case BASIC_CONSUME -> consume(method);
+            case BASIC_CANCEL -> {
+                cancel(method.text("consumer-tag"));
+                if (!method.flag("no-wait")) {
+                    answer(MethodId.BASIC_CANCEL_OK, method.text("consumer-tag"));
+                }
+            }
+            case BASIC_PUBLISH -> mayPublish(method);
+            case BASIC_GET -> {
+                // A queue keeps nothing: what is held goes to who consumes. So there is never one to get.
+                readable(method.text("queue"), id);
+                answer(MethodId.BASIC_GET_EMPTY, "");
+            }
+            case BASIC_ACK -> settled(method, method.flag("multiple"), Subscription.How.ACKED);
+            case BASIC_NACK -> settled(method, method.flag("multiple"), requeued(method));
+            case BASIC_REJECT -> settled(method, false, requeued(method));
+            case BASIC_RECOVER, BASIC_RECOVER_ASYNC -> throw new AmqpError(ReplyCode.NOT_IMPLEMENTED,
+                    id + ": which attempt comes next is decided here; nack what is to go elsewhere", id);
+            case CONFIRM_SELECT -> {
+                if (!confirming && !open.isEmpty()) {
+                    throw new AmqpError(ReplyCode.PRECONDITION_FAILED, "messages are out unconfirmed; select confirms first",
+                            id);
+                }
+                confirming = true;
+                if (!method.flag("no-wait")) {
+                    answer(MethodId.CONFIRM_SELECT_OK);
+                }
+            }
+            case TX_SELECT, TX_COMMIT, TX_ROLLBACK -> throw new AmqpError(ReplyCode.NOT_IMPLEMENTED,
+                    id + ": an order has one final answer by itself; use confirm.select", id);
+            default -> throw new AmqpError(ReplyCode.COMMAND_INVALID, id + " is not for a server, or not for a channel", id);
+        }
+    }
+
+    private static Subscription.How requeued(Method method) {
+        return method.flag("requeue") ? Subscription.How.REQUEUED : Subscription.How.REJECTED;
+    }
+
+    private void declare(Method m) throws AmqpError {
+        String exchange = m.text("exchange");
+        if (!config.routes().knows(exchange)) {
+            throw new AmqpError(ReplyCode.NOT_FOUND, "no exchange '" + exchange + "' in the operator's file", m.id());
+        }
+        if (!m.flag("passive") && !m.text("type").equals("topic")) {
+            throw new AmqpError(ReplyCode.PRECONDITION_FAILED, "exchange '" + exchange + "' is of type topic", m.id());
+        }
+        if (!m.flag("no-wait")) {
+            answer(MethodId.EXCHANGE_DECLARE_OK);
+        }
+    }
+
+    private void queue(Method m) throws AmqpError {
+        AmqpConfig.Queue queue = readable(m.text("queue"), m.id());
+        if (!m.flag("passive") && m.flag("exclusive")) {
+            throw new AmqpError(ReplyCode.RESOURCE_LOCKED, "queue '" + queue.name() + "' is shared", m.id());
+        }
+        if (!m.flag("no-wait")) {
+            answer(MethodId.QUEUE_DECLARE_OK, queue.name(), 0L,
+                    (long) connection.server().consuming().consumers(queue.name()));
+        }
+    }
+
+    private void bind(Method m) throws AmqpError {
+        readable(m.text("queue"), m.id());
+        if (!config.routes().binds(m.text("exchange"), m.text("routing-key"))) {
+            throw new AmqpError(ReplyCode.ACCESS_REFUSED, "no such binding in the operator's file; add it there", m.id());
+        }
+        if (!m.flag("no-wait")) {
+            answer(MethodId.QUEUE_BIND_OK);
+        }
+    }
+
+    private AmqpConfig.Queue readable(String name, MethodId id) throws AmqpError {
+        AmqpConfig.Queue queue = config.queues().get(name);
+        if (queue == null) {
+            throw new AmqpError(ReplyCode.NOT_FOUND, "no queue '" + name + "' in the operator's file", id);
+        }
+        if (!user().consume().contains(name)) {
+            throw new AmqpError(ReplyCode.ACCESS_REFUSED, "user '" + user().name() + "' may not consume '" + name
+                    + "'; the operator's file lists who may (consume)", id);
+        }
+        return queue;
+    }
+
+    private void mayPublish(Method m) throws AmqpError {
+        String exchange = m.text("exchange");
+        if (!confirming && !config.unconfirmed()) {
+            throw new AmqpError(ReplyCode.PRECONDITION_FAILED, "a final answer is owed for each message; send "
+                    + "confirm.select first", m.id());
+        }
+        if (!config.routes().knows(exchange)) {
+            throw new AmqpError(ReplyCode.NOT_FOUND, "no exchange '" + exchange + "' in the operator's file", m.id());
+        }
+        if (!user().publish().contains(exchange)) {
+            throw new AmqpError(ReplyCode.ACCESS_REFUSED, "user '" + user().name() + "' may not publish to '" + exchange
+                    + "'; the operator's file lists who may (publish)", m.id());
+        }
+        publish = m;
+    }
+
+    // ---- consumers ----
+
+    private void consume(Method m) throws AmqpError {
+        AmqpConfig.Queue queue = readable(m.text("queue"), m.id());
+        if (m.flag("no-ack")) {
+            throw new AmqpError(ReplyCode.PRECONDITION_FAILED, "without acks no message would have an end; consume with "
+                    + "no-ack off", m.id());
+        }
+        String tag = m.text("consumer-tag").isEmpty() ? connection.server().epoch() + "-" + connection.id() + "." + number
+                + "." + ++ownTags : m.text("consumer-tag");
+        if (subscriptions.containsKey(tag)) {
+            throw new AmqpError(ReplyCode.NOT_ALLOWED, "consumer tag '" + tag + "' is in use on this channel", m.id());
+        }
+        Subscription subscription = new Subscription(this, queue, tag, m.table("arguments"));
+        if (!connection.server().consuming().mayCome(subscription, m.flag("exclusive"))) {
+            throw new AmqpError(ReplyCode.ACCESS_REFUSED, "queue '" + queue.name() + "' has an exclusive consumer, or one "
+                    + "of this name; use another consumer tag", m.id());
+        }
+        deliveries.came(tag);
+        subscriptions.put(tag, subscription);
+        if (!m.flag("no-wait")) {
+            answer(MethodId.BASIC_CONSUME_OK, tag);
+        }
+        connection.server().consuming().came(subscription, m.flag("exclusive"));
+    }
+
+    private void cancel(String tag) {
+        Subscription left = subscriptions.remove(tag);
+        if (left != null) {
+            deliveries.left(tag);
+            connection.server().consuming().left(left);
+        }
+    }
+
+    private void settled(Method m, boolean multiple, Subscription.How how) throws AmqpError {
+        Optional<List<Deliveries.Out<Subscription.Delivered>>> settled = deliveries.settle(m.number("delivery-tag"), multiple);
+        if (settled.isEmpty()) {
+            throw new AmqpError(ReplyCode.PRECONDITION_FAILED, "no delivery " + m.number("delivery-tag")
+                    + " is out on this channel; settle each once", m.id());
+        }
+        settled.get().forEach(one -> one.what().settled(how));
+        room();
+    }
+
+    /** Its consumers may have room again. */
+    void room() {
+        subscriptions.values().forEach(connection.server().consuming()::room);
+    }
+
+    // ---- publishers ----
+
+    @Override
+    public String peer() {
+        return connection.server().epoch() + "-" + connection.id() + "." + number;
+    }
+
+    @Override
+    public void giveBack(Publication p, ReplyCode code, String text, Map<String, Object> headers) {
+        Map<String, Object> all = new HashMap<>(p.properties().headers());
+        all.putAll(headers);
+        send(new Frame.Content(number, Method.of(MethodId.BASIC_RETURN, code.number(), text, p.exchange(), p.routingKey()),
+                p.properties().with(Properties.Property.HEADERS, all), p.body()));
+    }
+
+    @Override
+    public void end(Publication publication, boolean ack) {
+        if (open.remove(publication)) {
+            if (publication.tag() > 0) {
+                confirms.end(publication.tag(), ack);
+            }
+            load(-1, publication);
+        }
+    }
+
+    @Override
+    public void flush() {
+        for (Confirms.Confirm due : confirms.due()) {
+            if (due.ack()) {
+                answer(MethodId.BASIC_ACK, due.tag(), due.multiple());
+            } else {
+                answer(MethodId.BASIC_NACK, due.tag(), due.multiple(), false);
+            }
+        }
+    }
+
+    /** Publishes that have no end yet. */
+    int open() {
+        return open.size();
+    }
+
+    // ---- the end ----
+
+    void sweep(double now) {
+        Optional<Double> oldest = deliveries.oldestMs();
+        if (!closing && oldest.isPresent() && now - oldest.get() > config.limits().ackMs()) {
+            fail(new AmqpError(ReplyCode.PRECONDITION_FAILED, "a delivery is out for over " + config.limits().ackMs()
+                    + " ms; settle each in time, or ask the operator for more (ack_within)"));
+        }
+    }
+
+    void fail(AmqpError e) {
+        if (closing) {
+            return;
+        }
+        end();
+        answer(MethodId.CHANNEL_CLOSE, e.code().number(), e.getMessage(), e.classId(), e.methodId());
+    }
+
+    /** It is gone, or will be: nothing more of it is settled. */
+    void end() {
+        if (closing) {
+            return;
+        }
+        closing = true;
+        if (body != null) {
+            connection.server().pressure().whole(connection.id(), body.length);
+            body = null;
+        }
+        List.copyOf(subscriptions.keySet()).forEach(this::cancel);
+        // After its consumers: what is decided next must not go to one of them.
+        new ArrayList<>(deliveries.settle(0, true).orElseThrow()).forEach(one -> one.what().settled(Subscription.How.LOST));
+        for (Publication publication : open) {
+            connection.server().pressure().changed(connection.id(), -1, -publication.body().length);
+        }
+        open.clear();
+        connection.server().publishing().left(this);
+        connection.server().relieved();
+    }
+}
--- /dev/null
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -0,0 +1,419 @@
+package slipfield.amqp.server;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import slipfield.amqp.codec.AmqpError;
+import slipfield.amqp.codec.Frame;
+import slipfield.amqp.codec.FrameDecoder;
+import slipfield.amqp.codec.FrameEncoder;
+import slipfield.amqp.codec.Method;
+import slipfield.amqp.codec.MethodId;
+import slipfield.amqp.codec.ReplyCode;
+import slipfield.amqp.decide.Liveness;
+import slipfield.amqp.decide.Tuning;
+import slipfield.config.Config;
+import slipfield.log.Log;
+
+/** A client's connection: its opening, its channels, its end. Specification 0-9-1, 2.2.4 and the class connection. */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    /** From connecting until it is open. A login that waits for its check may take most of that. */
+    private static final double OPEN_MS = 20_000;
+    /** From {@code connection.close} to the socket's close, where the peer does not answer. */
+    private static final long CLOSE_MS = 2000;
+    /** A peer that does not read what it is sent is gone after so long. */
+    private static final double STUCK_MS = 30_000;
+    /** While the sender ends, consumers stay for so long after the last delivery: others may still be held. */
+    private static final double QUIET_MS = 500;
+    private static final byte[] PROTOCOL = {'A', 'M', 'Q', 'P', 0, 0, 9, 1};
+
+    private final AmqpServer server;
+    private final int id;
+    private final Channel channel;
+    private final FrameDecoder decoder;
+    private final FrameEncoder encoder;
+    private final Deque<Object> inbox = new ArrayDeque<>();
+    private final Map<Integer, ServerChannel> channels = new TreeMap<>();
+    private final double begunMs;
+    private State state = State.PROTOCOL;
+    private ChannelHandlerContext ctx;
+    private AmqpConfig.User user;
+    private Tuning tuning;
+    private Liveness liveness;
+    private boolean blockable;
+    private boolean blocked;
+    /** Since when it takes nothing more; 0: it does. */
+    private double stuckMs;
+    private double lastOutMs;
+
+    private enum State {
+        PROTOCOL, START_OK, LOGIN, TUNE_OK, OPEN, IN_SERVICE, CLOSING, GONE
+    }
+
+    ServerConnection(AmqpServer server, int id, Channel channel, FrameDecoder decoder, FrameEncoder encoder) {
+        this.server = server;
+        this.id = id;
+        this.channel = channel;
+        this.decoder = decoder;
+        this.encoder = encoder;
+        this.begunMs = server.nowMs();
+        this.lastOutMs = begunMs;
+    }
+
+    int id() {
+        return id;
+    }
+
+    AmqpServer server() {
+        return server;
+    }
+
+    AmqpConfig.User user() {
+        return user;
+    }
+
+    boolean writable() {
+        return channel.isWritable();
+    }
+
+    // ---- what comes ----
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        ctx = context;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object frame) {
+        if (liveness != null) {
+            liveness.heard(server.nowMs());
+        }
+        if (state == State.GONE) {
+            ReferenceCountUtil.release(body(frame));
+            return;
+        }
+        if (frame instanceof Frame.Heartbeat) {
+            return;
+        }
+        inbox.addLast(frame);
+        if (inbox.size() == 1) {
+            updateReading();
+            server.pending(this);
+        }
+    }
+
+    private static Object body(Object frame) {
+        return frame instanceof Frame.OfBody b ? b.octets() : frame;
+    }
+
+    /** Looks at the frame that came first; whether there are more. */
+    boolean takeOne() {
+        Object frame = inbox.pollFirst();
+        if (frame != null) {
+            try {
+                if (frame instanceof AmqpError error) {
+                    throw error;
+                }
+                take((Frame) frame);
+            } catch (AmqpError e) {
+                fail(((frame instanceof Frame f) ? f.channel() : 0), e);
+            } catch (RuntimeException e) {
+                // A fault over one frame must not leave other connections unserved.
+                Log.error("amqp.fault", "cause", e);
+                fail(0, new AmqpError(ReplyCode.INTERNAL_ERROR, "this is our fault; connect again"));
+            }
+        }
+        if (inbox.isEmpty()) {
+            updateReading();
+        }
+        return !inbox.isEmpty();
+    }
+
+    private void take(Frame frame) throws AmqpError {
+        if (state == State.CLOSING) {
+            ReferenceCountUtil.release(body(frame));
+            if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CONNECTION_CLOSE_OK) {
+                channel.close();
+            } else if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CONNECTION_CLOSE) {
+                // Both sides close at once: each answers.
+                send(MethodId.CONNECTION_CLOSE_OK);
+            }
+            return;
+        }
+        if (frame.channel() > 0 && state == State.IN_SERVICE) {
+            ofChannel(frame);
+        } else if (frame instanceof Frame.OfMethod m && frame.channel() == 0) {
+            ofConnection(m.method());
+        } else if (frame instanceof Frame.ProtocolHeader && state == State.PROTOCOL) {
+            start();
+        } else {
+            ReferenceCountUtil.release(body(frame));
+            throw new AmqpError(state == State.IN_SERVICE ? ReplyCode.UNEXPECTED_FRAME : ReplyCode.COMMAND_INVALID,
+                    frame.channel() == 0 ? "content has a channel of its own, not 0"
+                            : "no channel before connection.open");
+        }
+    }
+
+    private void ofChannel(Frame frame) throws AmqpError {
+        ServerChannel of = channels.get(frame.channel());
+        MethodId id = frame instanceof Frame.OfMethod m ? m.method().id() : null;
+        if (id == MethodId.CHANNEL_OPEN) {
+            if (frame.channel() > tuning.channelMax()) {
+                throw new AmqpError(ReplyCode.NOT_ALLOWED, "channel " + frame.channel() + " is over the "
+                        + tuning.channelMax() + " that were agreed on", id);
+            }
+            if (of != null) {
+                throw new AmqpError(ReplyCode.CHANNEL_ERROR, "channel " + frame.channel() + " is open already", id);
+            }
+            channels.put(frame.channel(), new ServerChannel(this, frame.channel()));
+            send(frame.channel(), MethodId.CHANNEL_OPEN_OK, "");
+        } else if (of == null) {
+            ReferenceCountUtil.release(body(frame));
+            if (id != MethodId.CHANNEL_CLOSE_OK && id != MethodId.CHANNEL_CLOSE) {
+                throw new AmqpError(ReplyCode.CHANNEL_ERROR, "channel " + frame.channel() + " is not open; send "
+                        + "channel.open first");
+            }
+        } else {
+            of.take(frame);
+        }
+    }
+
+    private void start() {
+        state = State.START_OK;
+        Map<String, Object> capabilities = Map.of("publisher_confirms", true, "basic.nack", true,
+                "consumer_cancel_notify", true, "connection.blocked", true, "authentication_failure_close", true,
+                "consumer_priorities", true);
+        boolean certificates = server.config().tls().flatMap(AmqpConfig.Tls::clients).isPresent();
+        send(0, MethodId.CONNECTION_START, 0, 9, Map.of("product", "slipfield", "capabilities", capabilities),
+                Login.MECHANISMS + (certificates ? " " + Login.EXTERNAL : ""), "en_US");
+    }
+
+    private void ofConnection(Method method) throws AmqpError {
+        MethodId got = method.id();
+        if (got == MethodId.CONNECTION_CLOSE) {
+            endChannels();
+            state = State.CLOSING;
+            send(MethodId.CONNECTION_CLOSE_OK).addListener(ChannelFutureListener.CLOSE);
+        } else if (got == MethodId.CONNECTION_START_OK && state == State.START_OK) {
+            login(method);
+        } else if (got == MethodId.CONNECTION_TUNE_OK && state == State.TUNE_OK) {
+            tuned(method);
+        } else if (got == MethodId.CONNECTION_OPEN && state == State.OPEN) {
+            String host = method.text("virtual-host");
+            if (!server.config().virtualHosts().contains(host)) {
+                throw new AmqpError(ReplyCode.NOT_ALLOWED, "no virtual host '" + host + "'; the operator's file has "
+                        + server.config().virtualHosts(), got);
+            }
+            state = State.IN_SERVICE;
+            send(0, MethodId.CONNECTION_OPEN_OK, "");
+        } else if (state == State.IN_SERVICE && (got == MethodId.CONNECTION_BLOCKED || got == MethodId.CONNECTION_UNBLOCKED)) {
+            return;
+        } else if (got == MethodId.CONNECTION_UPDATE_SECRET) {
+            throw new AmqpError(ReplyCode.NOT_IMPLEMENTED, "secrets do not run out here; connect anew with another", got);
+        } else {
+            throw new AmqpError(ReplyCode.COMMAND_INVALID, got + " is not for now", got);
+        }
+    }
+
+    private void login(Method startOk) throws AmqpError {
+        Login login = Login.read(startOk.text("mechanism"), startOk.octets("response"), ctx);
+        blockable = startOk.table("client-properties").get("capabilities") instanceof Map<?, ?> c
+                && Boolean.TRUE.equals(c.get("connection.blocked"));
+        state = State.LOGIN;
+        server.login(login, right -> {
+            if (state != State.LOGIN) {
+                return;
+            }
+            if (right) {
+                user = server.config().users().get(login.name());
+                state = State.TUNE_OK;
+                Tuning offer = server.config().limits().tuning();
+                send(0, MethodId.CONNECTION_TUNE, offer.channelMax(), (long) offer.frameMax(),
+                        (int) (offer.heartbeatMs() / 1000));
+            } else {
+                fail(0, new AmqpError(ReplyCode.ACCESS_REFUSED, "login refused for this name and secret",
+                        MethodId.CONNECTION_START_OK));
+            }
+        });
+    }
+
+    private void tuned(Method tuneOk) throws AmqpError {
+        Optional<Tuning> chosen = server.config().limits().tuning().chosen(tuneOk.number("channel-max"),
+                tuneOk.number("frame-max"), tuneOk.number("heartbeat"));
+        if (chosen.isEmpty()) {
+            throw new AmqpError(ReplyCode.NOT_ALLOWED, "tune-ok asks for more than was offered", MethodId.CONNECTION_TUNE_OK);
+        }
+        tuning = chosen.get();
+        decoder.frameMax(tuning.frameMax());
+        encoder.frameMax(tuning.frameMax());
+        liveness = new Liveness(tuning.heartbeatMs(), server.nowMs());
+        state = State.OPEN;
+    }
+
+    // ---- what goes out ----
+
+    ChannelFuture write(Frame frame) {
+        if (liveness != null) {
+            liveness.said(server.nowMs());
+        }
+        return channel.writeAndFlush(frame);
+    }
+
+    void send(int number, MethodId id, Object... arguments) {
+        write(new Frame.OfMethod(number, Method.of(id, arguments)));
+    }
+
+    private ChannelFuture send(MethodId id) {
+        return write(new Frame.OfMethod(0, Method.of(id)));
+    }
+
+    /** A soft error ends its channel, a hard one the connection. */
+    private void fail(int number, AmqpError e) {
+        ServerChannel of = channels.get(number);
+        if (!e.code().hard() && of != null) {
+            of.fail(e);
+            return;
+        }
+        if (state == State.GONE || state == State.CLOSING) {
+            return;
+        }
+        if (state == State.PROTOCOL) {
+            // Whatever speaks there: it is told what is spoken here, and no more. Specification 4.2.2.
+            state = State.CLOSING;
+            channel.writeAndFlush(channel.alloc().buffer().writeBytes(PROTOCOL)).addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        Log.warn("amqp.connection_failed", "peer", peer(), "cause", e.getMessage());
+        close(e.code(), e.getMessage(), e.classId(), e.methodId());
+    }
+
+    private void close(ReplyCode code, String text, int classId, int methodId) {
+        endChannels();
+        state = State.CLOSING;
+        send(0, MethodId.CONNECTION_CLOSE, code.number(), text, classId, methodId);
+        server.loop().schedule(() -> channel.close(), CLOSE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void endChannels() {
+        channels.values().forEach(ServerChannel::end);
+        channels.clear();
+    }
+
+    void closed(int number) {
+        channels.remove(number);
+    }
+
+    // ---- flow and time ----
+
+    /** Reads no further while something of it waits, while it has too much unsettled, or reads nothing itself. */
+    void updateReading() {
+        boolean read = inbox.isEmpty() && server.pressure().reads(id);
+        boolean writable = channel.isWritable();
+        channel.config().setAutoRead(read && writable || state == State.CLOSING);
+        boolean block = !server.pressure().reads(id);
+        if (blockable && state == State.IN_SERVICE && block != blocked) {
+            blocked = block;
+            if (block) {
+                send(0, MethodId.CONNECTION_BLOCKED, "too much is unsettled; publish on when it is confirmed");
+            } else {
+                send(0, MethodId.CONNECTION_UNBLOCKED);
+            }
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        stuckMs = channel.isWritable() ? 0 : server.nowMs();
+        updateReading();
+        if (channel.isWritable()) {
+            channels.values().forEach(ServerChannel::room);
+        }
+    }
+
+    void sweep(double now) {
+        if (state.ordinal() < State.IN_SERVICE.ordinal() && now - begunMs > OPEN_MS
+                || stuckMs > 0 && now - stuckMs > STUCK_MS) {
+            Log.warn("amqp.connection_cut", "peer", peer(), "cause", stuckMs > 0 ? "reads nothing" : "not opened in time");
+            channel.close();
+            return;
+        }
+        if (liveness != null && state == State.IN_SERVICE) {
+            switch (liveness.due(now, channel.config().isAutoRead())) {
+                case BEAT -> write(new Frame.Heartbeat());
+                case GONE -> {
+                    Log.warn("amqp.connection_cut", "peer", peer(), "cause", "two heartbeats missed");
+                    channel.close();
+                }
+                default -> { }
+            }
+        }
+        List.copyOf(channels.values()).forEach(c -> c.sweep(now));
+    }
+
+    /** Whether a publisher waits for an answer here. */
+    boolean owes() {
+        return channels.values().stream().anyMatch(c -> c.open() > 0);
+    }
+
+    /** While the sender ends: {@code published}: publishers still wait for answers, here or elsewhere. */
+    void closeIdle(boolean published, double closingForMs) {
+        int out = channels.values().stream().mapToInt(c -> c.deliveries().out()).sum();
+        double now = server.nowMs();
+        if (out > 0) {
+            lastOutMs = now;
+        }
+        boolean consumes = channels.values().stream().anyMatch(c -> !c.deliveries().consumers().isEmpty());
+        boolean done = !owes() && out == 0 && (!consumes || !published && closingForMs > QUIET_MS && now - lastOutMs > QUIET_MS);
+        if (done && state == State.IN_SERVICE) {
+            close(ReplyCode.CONNECTION_FORCED, "CONNECTION_FORCED - the sender ends; connect again, or to another", 0, 0);
+        } else if (done && state != State.CLOSING) {
+            channel.close();
+        }
+    }
+
+    // ---- the end ----
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        endChannels();
+        state = State.GONE;
+        inbox.forEach(frame -> ReferenceCountUtil.release(body(frame)));
+        inbox.clear();
+        server.gone(this);
+        server.relieved();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            Log.warn("amqp.connection_closed", "peer", peer(), "cause", cause);
+        }
+        context.close();
+    }
+
+    private String peer() {
+        return channel.remoteAddress() instanceof InetSocketAddress address ? Config.hostPort(address) : "unknown";
+    }
+
+    String report() {
+        StringBuilder line = new StringBuilder().append(peer()).append(" user ").append(user == null ? "-" : user.name())
+                .append(' ').append(state.name().toLowerCase(Locale.ROOT)).append(blocked ? " blocked" : "");
+        channels.forEach((number, c) -> line.append("; channel ").append(number).append(": unconfirmed ").append(c.open())
+                .append(", consumers ").append(c.deliveries().consumers().size()).append(", out ").append(c.deliveries().out()));
+        return line.toString();
+    }
+
+}
--- a/src/main/java/slipfield/config/Config.java
+++ b/src/main/java/slipfield/config/Config.java
@@ -22,11 +22,14 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
               int sockets, long diskBytes, Relay.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double dialMs,
-              Optional<JsonNode> known, Optional<Path> members, Optional<Path> clients) {
+              Optional<JsonNode> known, Optional<Path> members, Optional<Path> clients,
+              Optional<Path> amqp) {
     /** Names the operator's file of further sources of endpoints, if any. */
     private static final String MEMBERS = "SLIPFIELD_MEMBERS";
     /** Names the operator's file of what is done for clients, if any. */
     private static final String CLIENTS = "SLIPFIELD_CLIENTS";
+    /** Names the operator's file of AMQP, if any. */
+    private static final String AMQP = "SLIPFIELD_AMQP";
     /** The journal is read in one piece at the start and files count as memory: more is never used. */
     private static final double MOST_DISK_MB = 12;
 
@@ -55,7 +58,7 @@
                 settings.numberOr("limits.dial_timeout_ms", 1000),
                 json.path("known").path("instances").isArray()
                         ? Optional.of(json.path("known")) : Optional.empty(),
-                file(env, MEMBERS), file(env, CLIENTS));
+                file(env, MEMBERS), file(env, CLIENTS), file(env, AMQP));
     }
 
     private static Optional<Path> file(Map<String, String> env, String name) {
--- a/src/main/java/slipfield/core/Directory.java
+++ b/src/main/java/slipfield/core/Directory.java
@@ -1,6 +1,6 @@
 package slipfield.core;
 
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.List;
 
 /**
@@ -9,7 +9,7 @@
  */
 public interface Directory {
     /** An entry of the list; {@code gone} ones are named so once; {@code weight} 0: none told. */
-    record Entry(String id, InetSocketAddress address, String zone, String kind, long destination, boolean serving,
+    record Entry(String id, SocketAddress address, String zone, String kind, long destination, boolean serving,
             double weight, boolean gone) {
     }
 
--- a/src/main/java/slipfield/core/Parts.java
+++ b/src/main/java/slipfield/core/Parts.java
@@ -9,6 +9,11 @@
 
 /** What hangs on a core, made for its event loop. The core knows these by their ports only. */
 public interface Parts {
+    /** Ids of messages that are over are known for so many messages after them. */
+    default int idsKnown() {
+        return 4096;
+    }
+
     /** The way to endpoints. */
     Transport transport(EventLoop loop, Transport.Ends ends);
 
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,8 +32,6 @@
  * thread alone touches the module and all that hangs on it, so nothing here is locked. It decides nothing.
  */
 public final class Sender implements Relay.Actions {
-    /** Ids of messages that are over are known for as many messages, lest one be taken on twice. */
-    private static final int ENDED_KNOWN = 4096;
     /**
      * A request may stand unread where the CPU is scarce, for the 400 ms that its client waits, and its budget
      * runs from when it was sent; a notice takes a turn or two of a loop that is as late. So a message is ended
@@ -73,15 +70,7 @@
     /** What is held and not over, by the module's number, and by the client's id. */
     private final Map<Long, Held> open = new HashMap<>();
     private final Map<String, Held> byId = new HashMap<>();
-    /** Ids of messages that were over last, and whether they were delivered. */
-    private final Map<String, Boolean> ended = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > ENDED_KNOWN;
-        }
-    };
+    private EndedIds ended;
     /** Destinations that a list has named. */
     private final Set<Long> destinations = new HashSet<>();
     /** Attempts that are out, by message and attempt: see {@link #out}. */
@@ -151,6 +140,7 @@
     private Void open() throws IOException {
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), life.mark(),
                 FileChannel::open);
+        ended = new EndedIds(parts.idsKnown());
         transport = parts.transport(loop, this::attemptEnded);
         transport.start();
         outcomes = parts.outcomes(loop, this::heard);
@@ -169,7 +159,7 @@
     private void recover() {
         long wall = life.wallMs();
         double now = openTurn();
-        ended.putAll(journal.over());
+        journal.over().forEach(ended::add);
         for (Map.Entry<String, Journal.Health> known : journal.health().entrySet()) {
             Journal.Health health = known.getValue();
             double since = now - Math.max(0, wall - health.sinceMs());
@@ -437,7 +427,7 @@
         if (TRACED) {
             traceEnd(held);
         }
-        ended.put(held.id, false);
+        ended.add(held.id, false);
         try {
             journal.owed(held, notice);
         } catch (IOException e) {
@@ -515,7 +505,7 @@
     /** Only what asked for it is told of a delivery. */
     private void delivered(Held held) throws IOException {
         over(held, true);
-        ended.put(held.id, true);
+        ended.add(held.id, true);
         held.claims.removeIf(claim -> !claim.delivered());
         if (held.claims.isEmpty()) {
             journal.ended(held);
@@ -641,7 +631,7 @@
                 claim(held, claim);
                 return Optional.of(Known.HELD);
             }
-            return Optional.ofNullable(ended.get(id)).map(delivered ->
+            return ended.delivered(id).map(delivered ->
                     delivered ? Known.DELIVERED : Known.ENDED);
         }
 
--- a/src/main/java/slipfield/core/Transport.java
+++ b/src/main/java/slipfield/core/Transport.java
@@ -1,6 +1,6 @@
 package slipfield.core;
 
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import slipfield.journal.Held;
 import slipfield.policy.Relay;
 
@@ -40,7 +40,7 @@
     void start();
 
     /** An endpoint is at this address from now on; connections to another one are of no more use. */
-    void at(long endpoint, InetSocketAddress address, boolean serving);
+    void at(long endpoint, SocketAddress address, boolean serving);
 
     /** Nothing new may go there, be it decided already. */
     void stop(long endpoint);
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import io.netty.util.internal.logging.Slf4JLoggerFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -59,6 +60,9 @@
     /** Absent unless the operator's file of clients is set. */
     private ClientsConfig clients;
     private Ends ends;
+    /** Absent unless the operator's file of AMQP is set: no class of it is loaded without. */
+    private AmqpParts amqp;
+    private List<InetSocketAddress> addresses = List.of();
 
     /** As the program runs it. */
     public Daemon(Config config) {
@@ -100,13 +104,22 @@
         if (config.clients().isPresent()) {
             clients = ClientsConfig.read(config.clients().get());
         }
-        InetSocketAddress address = sender.start().get(0);
+        if (config.amqp().isPresent()) {
+            amqp = AmqpParts.read(config.amqp().get(), config);
+        }
+        addresses = sender.start();
+        InetSocketAddress address = addresses.get(0);
         if (members != null) {
             members.listening(address);
         }
         return address;
     }
 
+    /** Where each front listens, HTTP's first. */
+    List<InetSocketAddress> addresses() {
+        return addresses;
+    }
+
     /** Ends in order, within the time before SIGKILL. */
     public void drain() {
         if (members != null) {
@@ -157,37 +170,53 @@
         }
     }
 
+    @Override
+    public int idsKnown() {
+        return amqp == null ? Parts.super.idsKnown() : amqp.idsKnown();
+    }
+
     @Override
     public Transport transport(EventLoop loop, Transport.Ends ends) {
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle, ends);
-        return endpoints;
+        return amqp == null ? endpoints : amqp.beside(endpoints, loop, ends);
     }
 
     @Override
     public Map<String, Outcome> outcomes(EventLoop loop, Consumer<Owed> heard) {
         notices = new Notices(loop, () -> new Agent(loop, agentAddress), heard);
-        if (clients == null || clients.ends().isEmpty()) {
-            return Map.of(Claim.PLATFORM.outcome(), notices);
+        Map<String, Outcome> outcomes = new LinkedHashMap<>();
+        outcomes.put(Claim.PLATFORM.outcome(), notices);
+        if (clients != null && clients.ends().isPresent()) {
+            ends = new Ends(loop, clients.ends().get(), Long.toHexString(System.currentTimeMillis()), heard);
+            outcomes.put(Ends.NAME, ends);
         }
-        ends = new Ends(loop, clients.ends().get(), Long.toHexString(System.currentTimeMillis()), heard);
-        return Map.of(Claim.PLATFORM.outcome(), notices, Ends.NAME, ends);
+        if (amqp != null) {
+            outcomes.put(AmqpParts.NAME, amqp.outcome(heard));
+        }
+        return outcomes;
     }
 
     @Override
     public Map<String, Directory> directories(EventLoop loop) {
         discovery = new Discovery(loop, new Agent(loop, agentAddress), config.known());
+        Map<String, Directory> directories = new LinkedHashMap<>();
         if (members == null) {
-            return Map.of("platform", discovery);
+            directories.put("platform", discovery);
+        } else {
+            members.over(loop, discovery);
+            directories.put("members", members);
+        }
+        if (amqp != null) {
+            directories.put(AmqpParts.NAME, amqp.directory());
         }
-        members.over(loop, discovery);
-        return Map.of("members", members);
+        return directories;
     }
 
     @Override
     public List<Front> fronts(EventLoop loop, Desk desk) {
         intake = new Intake(loop, config.listen(), mostClients, desk, clients == null ? Intake.Hints.NONE
                 : new Intake.Hints(clients.reconnectMs(), clients.waitScope(), Optional.ofNullable(ends)));
-        return List.of(intake);
+        return amqp == null ? List.of(intake) : List.of(intake, amqp.front(desk));
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/slipfield/daemon/Ways.java
@@ -0,0 +1,59 @@
+package slipfield.daemon;
+
+import java.net.SocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import slipfield.core.Transport;
+import slipfield.journal.Held;
+import slipfield.transport.amqp.ConsumerAddress;
+
+/** Two transports as one: an endpoint's address says which is its. */
+final class Ways implements Transport {
+    private final Transport network;
+    private final Transport queues;
+    private final Set<Long> consumers = new HashSet<>();
+
+    Ways(Transport network, Transport queues) {
+        this.network = network;
+        this.queues = queues;
+    }
+
+    private Transport of(long endpoint) {
+        return consumers.contains(endpoint) ? queues : network;
+    }
+
+    @Override
+    public void start() {
+        network.start();
+        queues.start();
+    }
+
+    @Override
+    public void at(long endpoint, SocketAddress address, boolean serving) {
+        if (address instanceof ConsumerAddress) {
+            consumers.add(endpoint);
+        }
+        of(endpoint).at(endpoint, address, serving);
+    }
+
+    @Override
+    public void stop(long endpoint) {
+        of(endpoint).stop(endpoint);
+    }
+
+    @Override
+    public void forget(long endpoint) {
+        of(endpoint).forget(endpoint);
+        consumers.remove(endpoint);
+    }
+
+    @Override
+    public Attempt attempt(Held held, int number, long endpoint, double timeoutMs, long decidedNanos) {
+        return of(endpoint).attempt(held, number, endpoint, timeoutMs, decidedNanos);
+    }
+
+    @Override
+    public void closeIdle(long endpoint) {
+        of(endpoint).closeIdle(endpoint);
+    }
+}
--- a/src/main/java/slipfield/directory/merged/Members.java
+++ b/src/main/java/slipfield/directory/merged/Members.java
@@ -147,7 +147,7 @@
             if (e.gone()) {
                 platformList.remove(e.id());
             } else {
-                platformList.put(e.id(), new Instance(e.id(), Config.hostPort(e.address()), e.destination(), e.kind(),
+                platformList.put(e.id(), new Instance(e.id(), Config.hostPort((InetSocketAddress) e.address()), e.destination(), e.kind(),
                         e.zone(), e.weight(), e.serving() ? Status.PASSING : Status.DRAINING));
             }
         }
--- /dev/null
+++ b/src/main/java/slipfield/front/amqp/Publications.java
@@ -0,0 +1,235 @@
+package slipfield.front.amqp;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import slipfield.amqp.codec.ReplyCode;
+import slipfield.amqp.decide.Routes;
+import slipfield.amqp.server.AmqpServer;
+import slipfield.amqp.server.Publication;
+import slipfield.amqp.server.Publisher;
+import slipfield.amqp.server.Publishing;
+import slipfield.config.BadInput;
+import slipfield.config.Config;
+import slipfield.core.Desk;
+import slipfield.core.Front;
+import slipfield.core.Outcome;
+import slipfield.journal.Claim;
+import slipfield.journal.Held;
+import slipfield.journal.Owed;
+import slipfield.log.Log;
+
+/**
+ * The way in for publishers. A confirm is the message's final answer, never its taking: {@code basic.ack} once it is
+ * delivered; else {@code basic.return} with what became of it, then {@code basic.nack}. A publisher that is gone is owed
+ * nothing: it will publish again, and an id that is known then is not taken twice.
+ */
+public final class Publications implements Front, Outcome, Publishing {
+    /** The outcome's name in claims. */
+    public static final String NAME = "amqp";
+    /** Of a message that was given back: {@code refused} (harmless to publish again) or {@code failed} (no promise). */
+    public static final String END = "x-slipfield-end";
+    /** Of a refused one: milliseconds to wait before it is published again; absent: none are told. */
+    public static final String RETRY_AFTER = "x-slipfield-retry-after-ms";
+
+    private final AmqpServer server;
+    private final Routes routes;
+    private final Consumer<Owed> heard;
+    /** Who waits for which message's end. */
+    private final Map<String, Waiting> waiting = new HashMap<>();
+    private final List<Taken> taken = new ArrayList<>();
+    /** Channels with confirms that were not sent yet. */
+    private final Set<Publisher> due = new LinkedHashSet<>();
+    private Desk desk;
+    private Reading reading;
+    private boolean closing;
+    private long unnamed;
+
+    private record Taken(Held held, Publisher from, Publication publication) {
+    }
+
+    private record Waiting(Publisher publisher, Map<String, List<Publication>> byId) {
+    }
+
+    /** {@code heard} is told of each answer that was passed on, or that nobody waits for. */
+    public Publications(AmqpServer server, Routes routes, Consumer<Owed> heard) {
+        this.server = server;
+        this.routes = routes;
+        this.heard = heard;
+    }
+
+    /** Hands in at this desk. */
+    public void over(Desk at) {
+        desk = at;
+        reading = new Reading(at);
+    }
+
+    @Override
+    public InetSocketAddress listen() throws IOException {
+        List<InetSocketAddress> addresses = server.listen();
+        addresses.stream().skip(1).forEach(more -> Log.info("amqp.listening", "address", Config.hostPort(more)));
+        return addresses.get(0);
+    }
+
+    @Override
+    public void close() {
+        closing = true;
+        server.close();
+    }
+
+    @Override
+    public int clients() {
+        return server.busy();
+    }
+
+    // ---- what is published ----
+
+    @Override
+    public void published(Publisher from, Publication p) {
+        Optional<Routes.Target> target = routes.target(p.exchange(), p.routingKey());
+        if (closing) {
+            refused(from, p, ReplyCode.CONNECTION_FORCED, "the sender ends; publish again, there or elsewhere", 0);
+        } else if (target.isEmpty()) {
+            refused(from, p, ReplyCode.NO_ROUTE, "no route of '" + p.exchange() + "' fits '" + p.routingKey() + "'", 0);
+        } else {
+            try {
+                handIn(from, p, reading.read(p, target.get(), from.peer() + "-" + ++unnamed,
+                        new Claim(NAME, from.peer(), true, false)));
+            } catch (BadInput bad) {
+                refused(from, p, ReplyCode.PRECONDITION_FAILED, bad.getMessage(), 0);
+            }
+        }
+    }
+
+    private void handIn(Publisher from, Publication p, Desk.Submission submission) {
+        String id = submission.id();
+        if (taken.stream().anyMatch(t -> t.held.id.equals(id))) {
+            // What is said of an id must be true of the journal.
+            turned();
+        }
+        Optional<Desk.Known> before = desk.before(id, submission.claims().get(0));
+        if (before.isPresent()) {
+            switch (before.get()) {
+                case HELD -> await(from, p, id);
+                case DELIVERED -> end(from, p, true);
+                case ENDED -> failed(from, p, "this message-id was refused or failed a moment ago");
+                default -> throw new IllegalStateException();
+            }
+            return;
+        }
+        if (!desk.knowsDestination(submission.destination())) {
+            refused(from, p, ReplyCode.NO_CONSUMERS, "nothing serves destination " + submission.destination() + " yet", 0);
+            return;
+        }
+        Desk.Taking taking = desk.take(submission);
+        if (taking.held().isPresent()) {
+            taken.add(new Taken(taking.held().get(), from, p));
+            await(from, p, id);
+        } else {
+            refused(from, p, ReplyCode.RESOURCE_ERROR, taking.reason(), taking.waitMs());
+        }
+    }
+
+    private void await(Publisher from, Publication p, String id) {
+        waiting.computeIfAbsent(from.peer(), peer -> new Waiting(from, new HashMap<>())).byId
+                .computeIfAbsent(id, i -> new ArrayList<>(1)).add(p);
+    }
+
+    /** All that was taken goes into the journal in one write, and on to the module; its end is what is told. */
+    @Override
+    public void turned() {
+        if (!taken.isEmpty()) {
+            boolean written = desk.written();
+            List<Taken> told = List.copyOf(taken);
+            taken.clear();
+            for (Taken t : told) {
+                desk.answered(t.held, written);
+                if (!written) {
+                    publications(t.from, t.held.id).forEach(p -> refused(t.from, p, ReplyCode.RESOURCE_ERROR, "no room", 0));
+                }
+            }
+        }
+        flush();
+    }
+
+    private List<Publication> publications(Publisher of, String id) {
+        Waiting waits = waiting.get(of.peer());
+        List<Publication> publications = waits == null ? null : waits.byId.remove(id);
+        return publications == null ? List.of() : publications;
+    }
+
+    @Override
+    public void left(Publisher publisher) {
+        due.remove(publisher);
+        Waiting waits = waiting.remove(publisher.peer());
+        if (waits != null && !waits.byId.isEmpty()) {
+            if (!taken.isEmpty()) {
+                turned();
+            }
+            desk.left(NAME, publisher.peer());
+        }
+    }
+
+    // ---- ends ----
+
+    @Override
+    public void owe(Owed answer) {
+        Waiting waits = waiting.get(answer.claim().peer());
+        if (waits != null) {
+            Held.Notice notice = answer.held().owed.orElseThrow();
+            for (Publication p : publications(waits.publisher, answer.held().id)) {
+                switch (notice.end()) {
+                    case DELIVERED -> end(waits.publisher, p, true);
+                    case REFUSED -> refused(waits.publisher, p, ReplyCode.RESOURCE_ERROR,
+                            "could not be delivered, and did not run", Math.round(notice.waitMs()));
+                    case FAILED -> failed(waits.publisher, p, "given up; it may have run");
+                    default -> throw new IllegalStateException();
+                }
+            }
+        }
+        // One of an earlier life, or of a channel that is gone: nobody waits for it.
+        heard.accept(answer);
+    }
+
+    private void refused(Publisher to, Publication p, ReplyCode code, String text, long waitMs) {
+        Map<String, Object> headers = new LinkedHashMap<>(Map.of(END, "refused"));
+        if (waitMs > 0) {
+            headers.put(RETRY_AFTER, waitMs);
+        }
+        to.giveBack(p, code, text, headers);
+        end(to, p, false);
+    }
+
+    private void failed(Publisher to, Publication p, String text) {
+        to.giveBack(p, ReplyCode.INTERNAL_ERROR, text, Map.of(END, "failed"));
+        end(to, p, false);
+    }
+
+    private void end(Publisher to, Publication p, boolean ack) {
+        to.end(p, ack);
+        due.add(to);
+    }
+
+    @Override
+    public void flush() {
+        if (!due.isEmpty()) {
+            List<Publisher> now = List.copyOf(due);
+            due.clear();
+            now.forEach(Publisher::flush);
+        }
+    }
+
+    /** What is not confirmed yet is not over yet: the core counts that itself. */
+    @Override
+    public int owed() {
+        return 0;
+    }
+}
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -53,6 +53,10 @@
         if (Files.exists(clients)) {
             environment.put("SLIPFIELD_CLIENTS", clients.toString());
         }
+        Path amqp = folder.resolve("amqp.yaml");
+        if (Files.exists(amqp)) {
+            environment.put("SLIPFIELD_AMQP", amqp.toString());
+        }
         life = new Child(folder.resolve("sender-" + lives++ + ".log"), wrapper, options, List.of("serve"), environment,
                 LISTENS);
     }
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -32,6 +32,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -131,7 +132,8 @@
 
     /** An endpoint is at this address from now on; connections to another one are of no more use. */
     @Override
-    public void at(long endpoint, InetSocketAddress address, boolean serving) {
+    public void at(long endpoint, SocketAddress at, boolean serving) {
+        InetSocketAddress address = (InetSocketAddress) at;
         Peer peer = peers.computeIfAbsent(endpoint, e -> new Peer());
         if (!serving || !address.equals(peer.address)) {
             closeIdle(endpoint);
--- a/src/test/java/slipfield/ArchitectureTest.java
+++ b/src/test/java/slipfield/ArchitectureTest.java
@@ -19,7 +19,7 @@
     @ArchTest
     static final ArchRule DECISIONS_ARE_PURE = noClasses()
             .that().resideInAnyPackage("slipfield.policy", "slipfield.recovery", "slipfield.admission",
-                    "slipfield.membership", "slipfield.client.decide")
+                    "slipfield.membership", "slipfield.client.decide", "slipfield.amqp.decide")
             .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..",
                     "io.netty..")
             .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
@@ -45,6 +45,17 @@
             .should().dependOnClassesThat().resideInAnyPackage("slipfield.cli..", "slipfield.standin..", "picocli..",
                     "org.HdrHistogram..");
 
+    /** A protocol knows neither what it carries nor who uses it. */
+    @ArchTest
+    static final ArchRule A_PROTOCOL_STANDS_BELOW = noClasses().that().resideInAPackage("slipfield.amqp..")
+            .should().dependOnClassesThat().resideInAnyPackage("slipfield.core..", "slipfield.journal..",
+                    "slipfield.policy..", "slipfield.front..", "slipfield.transport..", "slipfield.daemon..");
+
+    @ArchTest
+    static final ArchRule A_CODEC_KEEPS_NO_CONNECTION = classes().that().resideInAPackage("slipfield.amqp.codec")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("slipfield.amqp.codec", "java..", "io.netty.buffer..",
+                    "io.netty.channel", "io.netty.handler.codec", "io.netty.util..");
+
     /** It stands in a jar of its own. */
     @ArchTest
     static final ArchRule A_CLIENT_KNOWS_NO_SENDER = classes().that().resideInAPackage("slipfield.client..")
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -69,8 +70,8 @@
                 }
 
                 @Override
-                public void at(long endpoint, InetSocketAddress address, boolean serves) {
-                    serving.put(endpoint, address);
+                public void at(long endpoint, SocketAddress address, boolean serves) {
+                    serving.put(endpoint, (InetSocketAddress) address);
                 }
 
                 @Override
