--- a/src/main/java/slipfield/amqp/server/AmqpConfig.java
+++ b/src/main/java/slipfield/amqp/AmqpConfig.java
@@ -1,7 +1,8 @@
-package slipfield.amqp.server;
+package slipfield.amqp;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -27,9 +28,12 @@
  * @param exchanges names and types, for declarations that must agree with them
  * @param queues by name
  * @param unconfirmed whether publishing is allowed outside confirm mode
+ * @param outbound brokers elsewhere that are published to
+ * @param inbound queues of brokers elsewhere that are consumed
  */
 public record AmqpConfig(Optional<InetSocketAddress> listen, Optional<Tls> tls, Set<String> virtualHosts,
-        Map<String, User> users, Routes routes, Map<String, Queue> queues, Limits limits, boolean unconfirmed) {
+        Map<String, User> users, Routes routes, Map<String, Queue> queues, Limits limits, boolean unconfirmed,
+        List<Outbound> outbound, List<Inbound> inbound) {
     private static final long LONGEST_MS = 24 * 3_600_000;
     /** Some 10 MB of heap when they are all there: what publishers at 2,000 a second publish again within 30 s. */
     private static final int KNOWN_IDS = 65_536;
@@ -57,6 +61,42 @@
     public record Queue(String name, long destination, String kind, String zone) {
     }
 
+    /** How a broker elsewhere is reached by TLS: whose certificates are trusted, and our own where it asks for one. */
+    public record ClientTls(Path trust, Optional<Path> certificate, Optional<Path> key) {
+    }
+
+    /**
+     * A broker elsewhere.
+     *
+     * @param password absent: our certificate names us
+     */
+    public record Broker(String name, InetSocketAddress address, String virtualHost, String user,
+            Optional<String> password, Optional<ClientTls> tls) {
+        /** The SASL mechanism to log in by. */
+        public String mechanism() {
+            return password.isPresent() ? "PLAIN" : "EXTERNAL";
+        }
+
+        /** Its response. */
+        public String response() {
+            return password.map(secret -> "\0" + user + "\0" + secret).orElse("");
+        }
+
+        /** Without the secret. */
+        @Override
+        public String toString() {
+            return name + " at " + address;
+        }
+    }
+
+    /** Messages for a queue's destination are published there, so many at once. */
+    public record Outbound(Broker broker, String exchange, String key, Queue queue, int inFlight) {
+    }
+
+    /** What a queue there delivers is handed in by the routes of this exchange, as this user's. */
+    public record Inbound(Broker broker, String queue, String exchange, User user, int prefetch) {
+    }
+
     /**
      * Bounds.
      *
@@ -76,8 +116,8 @@
         return read(SettingsFile.read(path), known);
     }
 
-    static AmqpConfig read(Section file, Known known) throws BadInput {
-        file.only("listen", "tls", "virtual_hosts", "users", "exchanges", "queues", "limits", "unconfirmed");
+    static AmqpConfig read(Section file, Known known) throws IOException, BadInput {
+        file.only("listen", "tls", "virtual_hosts", "users", "exchanges", "queues", "limits", "unconfirmed", "outbound", "inbound");
         Optional<Tls> tls = Optional.empty();
         if (file.section("tls").isPresent()) {
             Section t = file.section("tls").get().only("listen", "certificate", "key", "clients");
@@ -114,7 +154,70 @@
         }
         Set<String> hosts = file.has("virtual_hosts") ? new HashSet<>(file.texts("virtual_hosts")) : Set.of("/");
         return new AmqpConfig(file.has("listen") ? Optional.of(file.address("listen")) : Optional.empty(), tls, hosts,
-                users, routes, queues, limits(file), file.flag("unconfirmed", false));
+                users, routes, queues, limits(file), file.flag("unconfirmed", false), outbound(file, known),
+                inbound(file, known, routes));
+    }
+
+    private static List<Outbound> outbound(Section file, Known known) throws IOException, BadInput {
+        List<Outbound> all = new ArrayList<>();
+        for (Section o : file.sections("outbound")) {
+            o.only("name", "address", "virtual_host", "user", "password_file", "tls", "exchange", "key", "destination", "kind",
+                    "zone", "in_flight");
+            Broker broker = broker(o, all.stream().map(Outbound::broker).toList());
+            all.add(new Outbound(broker, o.text("exchange", ""), o.text("key"), new Queue("out/" + broker.name(),
+                    destination(o), among(o, "kind", known.kinds()), among(o, "zone", known.zones())),
+                    (int) o.whole("in_flight", 64, 1, 65_535)));
+        }
+        return all;
+    }
+
+    private static List<Inbound> inbound(Section file, Known known, Routes routes) throws IOException, BadInput {
+        List<Inbound> all = new ArrayList<>();
+        for (Section i : file.sections("inbound")) {
+            i.only("name", "address", "virtual_host", "user", "password_file", "tls", "queue", "exchange", "tenant",
+                    "prefetch");
+            if (!routes.knows(i.text("exchange"))) {
+                throw i.wrong("exchange", "names no exchange of this file: '" + i.text("exchange") + "'; its routes say where "
+                        + "what is taken goes: add it under `exchanges`");
+            }
+            Broker broker = broker(i, all.stream().map(Inbound::broker).toList());
+            String tenant = i.text("tenant", "");
+            if (!tenant.isEmpty()) {
+                among(i, "tenant", known.tenants());
+            }
+            all.add(new Inbound(broker, i.text("queue"), i.text("exchange"), new User(broker.name(), Optional.empty(), tenant,
+                    Set.of(), Set.of()), (int) i.whole("prefetch", 64, 1, 65_535)));
+        }
+        return all;
+    }
+
+    private static Broker broker(Section b, List<Broker> before) throws IOException, BadInput {
+        String name = b.text("name");
+        if (before.stream().anyMatch(other -> other.name().equals(name))) {
+            throw b.wrong("name", "is there twice; give each a name of its own");
+        }
+        Optional<String> password = Optional.empty();
+        if (b.has("password_file")) {
+            Path file = b.path("password_file").orElseThrow();
+            if (!Files.isReadable(file)) {
+                throw b.wrong("password_file", "can't be read: " + file + "; write the secret there, for the sender's user "
+                        + "alone");
+            }
+            password = Optional.of(Files.readString(file).strip());
+        }
+        Optional<ClientTls> tls = Optional.empty();
+        if (b.section("tls").isPresent()) {
+            Section t = b.section("tls").get().only("trust", "certificate", "key");
+            t.text("trust");
+            if (t.has("certificate") != t.has("key")) {
+                throw t.wrong("certificate", "and key go together; write both, or neither");
+            }
+            tls = Optional.of(new ClientTls(t.path("trust").orElseThrow(), t.path("certificate"), t.path("key")));
+        }
+        if (password.isEmpty() && tls.flatMap(ClientTls::certificate).isEmpty()) {
+            throw b.wrong("password_file", "is missing; name a file that holds the secret, or a certificate under `tls`");
+        }
+        return new Broker(name, b.address("address"), b.text("virtual_host", "/"), b.text("user", ""), password, tls);
     }
 
     private static List<Routes.Route> routes(Section exchange, Known known) throws BadInput {
--- a/src/main/java/slipfield/amqp/server/Consuming.java
+++ b/src/main/java/slipfield/amqp/Consuming.java
@@ -1,18 +1,18 @@
-package slipfield.amqp.server;
+package slipfield.amqp;
 
-/** Has messages for consumers. On the loop's thread. */
+/** Has messages for those that take deliveries. On the loop's thread. */
 public interface Consuming {
     /** Whether this consumer may come: not beside an exclusive one, and under each name once. */
-    boolean mayCome(Subscription subscription, boolean exclusive);
+    boolean mayCome(Receiver receiver, boolean exclusive);
 
     /** A consumer came. */
-    void came(Subscription subscription, boolean exclusive);
+    void came(Receiver receiver, boolean exclusive);
 
     /** A consumer was cancelled, or its channel is gone; what it has out is settled or lost by itself. */
-    void left(Subscription subscription);
+    void left(Receiver receiver);
 
     /** A consumer has room again. */
-    void room(Subscription subscription);
+    void room(Receiver receiver);
 
     /** How many consume a queue. */
     int consumers(String queue);
--- a/src/main/java/slipfield/amqp/server/Publication.java
+++ b/src/main/java/slipfield/amqp/Publication.java
@@ -1,4 +1,4 @@
-package slipfield.amqp.server;
+package slipfield.amqp;
 
 import slipfield.amqp.codec.Properties;
 
--- a/src/main/java/slipfield/amqp/server/Publisher.java
+++ b/src/main/java/slipfield/amqp/Publisher.java
@@ -1,4 +1,4 @@
-package slipfield.amqp.server;
+package slipfield.amqp;
 
 import java.util.Map;
 import slipfield.amqp.codec.ReplyCode;
--- a/src/main/java/slipfield/amqp/server/Publishing.java
+++ b/src/main/java/slipfield/amqp/Publishing.java
@@ -1,4 +1,4 @@
-package slipfield.amqp.server;
+package slipfield.amqp;
 
 /** Takes what is published. Each publication gets one {@link Publisher#end}, unless its publisher has left before. */
 public interface Publishing {
--- /dev/null
+++ b/src/main/java/slipfield/amqp/Receiver.java
@@ -0,0 +1,43 @@
+package slipfield.amqp;
+
+import io.netty.channel.ChannelFuture;
+import slipfield.amqp.codec.Properties;
+
+/** What takes deliveries: a consumer of a queue here, or a broker elsewhere. On the loop's thread. */
+public interface Receiver {
+    /** How a delivery was settled. */
+    enum How {
+        /** It is done. */
+        ACKED,
+        /** Given back unseen. */
+        REQUEUED,
+        /** Not done, and it may have run. */
+        REJECTED,
+        /** Whatever took it is gone. */
+        LOST
+    }
+
+    /** Hears of a delivery's settlement, once. */
+    interface Delivered {
+        /** It was settled; {@code waitMs}: of one given back, the time to come back after, or 0. */
+        void settled(How how, long waitMs);
+    }
+
+    /** Its endpoint's name. */
+    String name();
+
+    /** What it is of: destination, kind and zone. */
+    AmqpConfig.Queue queue();
+
+    /** 0, or higher where it wants more than its share. */
+    int priority();
+
+    /** How many deliveries it may have out at once. */
+    int slots();
+
+    /** Whether it may have one more, and reads what it is sent. */
+    boolean room();
+
+    /** Sends a message to it, which must have room; the future tells when the last octet is out. */
+    ChannelFuture deliver(Properties properties, byte[] body, boolean redelivered, Delivered then);
+}
--- a/src/main/java/slipfield/amqp/server/Secret.java
+++ b/src/main/java/slipfield/amqp/Secret.java
@@ -1,4 +1,4 @@
-package slipfield.amqp.server;
+package slipfield.amqp;
 
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
--- /dev/null
+++ b/src/main/java/slipfield/amqp/client/Target.java
@@ -0,0 +1,160 @@
+package slipfield.amqp.client;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.ssl.SslContext;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.Consuming;
+import slipfield.amqp.Receiver;
+import slipfield.amqp.codec.Frame;
+import slipfield.amqp.codec.Method;
+import slipfield.amqp.codec.MethodId;
+import slipfield.amqp.codec.Properties;
+import slipfield.amqp.decide.Deliveries;
+
+/**
+ * A broker elsewhere that is published to, as an endpoint: an attempt is one publish, and its confirm what became of it. What
+ * the broker returns as {@code refused} it has not run; what it returns in other words it has not routed anywhere. A nack
+ * without a return says nothing of whether it ran.
+ */
+public final class Target implements Receiver, BrokerLink.Listener {
+    private static final String ONLY = "";
+
+    private final AmqpConfig.Outbound config;
+    private final Consuming consuming;
+    private final BrokerLink link;
+    private Deliveries<Delivered> out;
+    /** What was returned and not yet confirmed, by message id; how, and the wait that was told. */
+    private final Map<String, Returned> returned = new HashMap<>();
+    private final Map<Long, String> ids = new HashMap<>();
+
+    private record Returned(How how, long waitMs) {
+    }
+
+    /** Will publish there, and say here whether it can. */
+    public Target(EventLoop loop, AmqpConfig.Outbound config, Optional<SslContext> tls, AmqpConfig.Limits limits,
+            Consuming consuming) {
+        this.config = config;
+        this.consuming = consuming;
+        this.link = new BrokerLink(loop, config.broker(), tls, limits.tuning(), limits.bodyOctets(), this);
+    }
+
+    /** Connects, and again whenever it is down. */
+    public void dial() {
+        link.dial();
+    }
+
+    /** Closes its connection for good. */
+    public void end() {
+        link.end();
+    }
+
+    // ---- the endpoint ----
+
+    @Override
+    public String name() {
+        return "out/" + config.broker().name();
+    }
+
+    @Override
+    public AmqpConfig.Queue queue() {
+        return config.queue();
+    }
+
+    @Override
+    public int priority() {
+        return 0;
+    }
+
+    @Override
+    public int slots() {
+        return config.inFlight();
+    }
+
+    @Override
+    public boolean room() {
+        return link.writable() && out != null && out.room(ONLY);
+    }
+
+    @Override
+    public ChannelFuture deliver(Properties properties, byte[] body, boolean redelivered, Delivered then) {
+        long tag = out.deliver(ONLY, then, 0);
+        ids.put(tag, properties.text(Properties.Property.MESSAGE_ID));
+        return link.send(new Frame.Content(BrokerLink.CHANNEL, Method.of(MethodId.BASIC_PUBLISH, 0, config.exchange(),
+                config.key(), true, false), properties, body));
+    }
+
+    // ---- the link ----
+
+    @Override
+    public void opened() {
+        link.send(MethodId.CONFIRM_SELECT, false);
+    }
+
+    @Override
+    public void method(Method m) {
+        switch (m.id()) {
+            case CONFIRM_SELECT_OK -> {
+                // Publish numbers begin anew with each channel.
+                out = new Deliveries<>(config.inFlight());
+                out.came(ONLY);
+                consuming.came(this, false);
+            }
+            case BASIC_ACK -> confirmed(m, true);
+            case BASIC_NACK -> confirmed(m, false);
+            case CHANNEL_FLOW -> {
+                out.flow(m.flag("active"));
+                link.send(MethodId.CHANNEL_FLOW_OK, m.flag("active"));
+                consuming.room(this);
+            }
+            default -> link.fail(m.id() + " came, which nobody asked for");
+        }
+    }
+
+    @Override
+    public void content(Method m, Properties properties, byte[] body) {
+        if (m.id() == MethodId.BASIC_RETURN) {
+            String end = String.valueOf(properties.headers().get("x-slipfield-end"));
+            long wait = properties.headers().get("x-slipfield-retry-after-ms") instanceof Number n ? n.longValue() : 0;
+            returned.put(properties.text(Properties.Property.MESSAGE_ID), new Returned(end.equals("failed") ? How.REJECTED
+                    : How.REQUEUED, wait));
+        }
+    }
+
+    private void confirmed(Method m, boolean ack) {
+        Optional<List<Deliveries.Out<Delivered>>> settled = out == null ? Optional.empty()
+                : out.settle(m.number("delivery-tag"), m.flag("multiple"));
+        if (settled.isEmpty()) {
+            link.fail("a confirm for nothing that is out");
+            return;
+        }
+        for (Deliveries.Out<Delivered> one : settled.get()) {
+            // A broker that can't route a message returns it and confirms it all the same.
+            Returned back = returned.remove(ids.remove(one.tag()));
+            How how = back != null ? back.how : ack ? How.ACKED : How.REJECTED;
+            one.what().settled(how, back == null ? 0 : back.waitMs);
+        }
+        consuming.room(this);
+    }
+
+    @Override
+    public void writable() {
+        consuming.room(this);
+    }
+
+    @Override
+    public void lost() {
+        if (out != null) {
+            Deliveries<Delivered> lost = out;
+            out = null;
+            ids.clear();
+            returned.clear();
+            consuming.left(this);
+            lost.settle(0, true).orElseThrow().forEach(one -> one.what().settled(How.LOST, 0));
+        }
+    }
+}
--- a/src/main/java/slipfield/amqp/decide/LoginGuard.java
+++ b/src/main/java/slipfield/amqp/decide/LoginGuard.java
@@ -14,12 +14,18 @@
     private static final double LONGEST_DELAY_MS = 8000;
     private static final double FORGOTTEN_MS = 60_000;
     private static final int MOST_NAMES = 1000;
+    /**
+     * Wrong ones whose answer is held back at one time. Guards against a crowd of them that would hold all connections: what
+     * is beyond it is answered at once, and the checks, few at a time, still bound how many can be tried.
+     */
+    private static final int MOST_HELD_BACK = 32;
 
     private final int atOnce;
     private final int mostWaiting;
     private int checking;
     private final Map<String, Integer> waitingOf = new HashMap<>();
     private int waiting;
+    private int heldBack;
     /** Wrong tries by name, those of long ago first. */
     private final Map<String, Wrong> wrong = new LinkedHashMap<>();
 
@@ -73,7 +79,12 @@
         return checking < atOnce && waiting > 0;
     }
 
-    /** The secret was wrong: how long its answer is to be held back, in milliseconds. */
+    /** The answer to a wrong secret is out. */
+    public void answered() {
+        heldBack--;
+    }
+
+    /** The secret was wrong: how long its answer is to be held back, in milliseconds, until {@link #answered}. */
     public double wrong(String name, double now) {
         Wrong before = wrong.remove(name);
         int many = before == null || now - before.lastMs > FORGOTTEN_MS ? 1 : before.many + 1;
@@ -81,6 +92,9 @@
         if (wrong.size() > MOST_NAMES) {
             wrong.remove(wrong.keySet().iterator().next());
         }
+        if (heldBack++ >= MOST_HELD_BACK) {
+            return 0;
+        }
         return Math.min(LONGEST_DELAY_MS, FIRST_DELAY_MS * Math.pow(2, Math.min(many - 1, 16)));
     }
 }
--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -24,6 +24,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.Consuming;
+import slipfield.amqp.Publishing;
+import slipfield.amqp.Secret;
 import slipfield.amqp.codec.FrameDecoder;
 import slipfield.amqp.codec.FrameEncoder;
 import slipfield.amqp.decide.Backpressure;
@@ -239,7 +243,10 @@
             return;
         }
         Log.warn("amqp.login_refused", "user", login.name());
-        loop.schedule(() -> then.accept(false), (long) guard.wrong(login.name(), nowMs()), TimeUnit.MILLISECONDS);
+        loop.schedule(() -> {
+            guard.answered();
+            then.accept(false);
+        }, (long) guard.wrong(login.name(), nowMs()), TimeUnit.MILLISECONDS);
     }
 
     double nowMs() {
--- a/src/main/java/slipfield/amqp/server/ServerChannel.java
+++ b/src/main/java/slipfield/amqp/server/ServerChannel.java
@@ -10,6 +10,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.Publication;
+import slipfield.amqp.Publisher;
+import slipfield.amqp.Receiver;
 import slipfield.amqp.codec.AmqpError;
 import slipfield.amqp.codec.Frame;
 import slipfield.amqp.codec.Method;
@@ -24,7 +28,7 @@
 final class ServerChannel implements Publisher {
     private final ServerConnection connection;
     private final int number;
-    private final Deliveries<Subscription.Delivered> deliveries;
+    private final Deliveries<Receiver.Delivered> deliveries;
     private final Map<String, Subscription> subscriptions = new HashMap<>();
     private final Confirms confirms = new Confirms();
     private final Assembly assembly;
@@ -55,7 +59,7 @@
         return connection.user();
     }
 
-    Deliveries<Subscription.Delivered> deliveries() {
+    Deliveries<Receiver.Delivered> deliveries() {
         return deliveries;
     }
 
@@ -192,7 +196,7 @@
                 readable(method.text("queue"), id);
                 answer(MethodId.BASIC_GET_EMPTY, "");
             }
-            case BASIC_ACK -> settled(method, method.flag("multiple"), Subscription.How.ACKED);
+            case BASIC_ACK -> settled(method, method.flag("multiple"), Receiver.How.ACKED);
             case BASIC_NACK -> settled(method, method.flag("multiple"), requeued(method));
             case BASIC_REJECT -> settled(method, false, requeued(method));
             case BASIC_RECOVER, BASIC_RECOVER_ASYNC -> throw new AmqpError(ReplyCode.NOT_IMPLEMENTED,
@@ -213,8 +217,8 @@
         }
     }
 
-    private static Subscription.How requeued(Method method) {
-        return method.flag("requeue") ? Subscription.How.REQUEUED : Subscription.How.REJECTED;
+    private static Receiver.How requeued(Method method) {
+        return method.flag("requeue") ? Receiver.How.REQUEUED : Receiver.How.REJECTED;
     }
 
     private void declare(Method m) throws AmqpError {
@@ -313,13 +317,13 @@
         }
     }
 
-    private void settled(Method m, boolean multiple, Subscription.How how) throws AmqpError {
-        Optional<List<Deliveries.Out<Subscription.Delivered>>> settled = deliveries.settle(m.number("delivery-tag"), multiple);
+    private void settled(Method m, boolean multiple, Receiver.How how) throws AmqpError {
+        Optional<List<Deliveries.Out<Receiver.Delivered>>> settled = deliveries.settle(m.number("delivery-tag"), multiple);
         if (settled.isEmpty()) {
             throw new AmqpError(ReplyCode.PRECONDITION_FAILED, "no delivery " + m.number("delivery-tag")
                     + " is out on this channel; settle each once", m.id());
         }
-        settled.get().forEach(one -> one.what().settled(how));
+        settled.get().forEach(one -> one.what().settled(how, 0));
         room();
     }
 
@@ -399,7 +403,7 @@
         }
         List.copyOf(subscriptions.keySet()).forEach(this::cancel);
         // After its consumers: what is decided next must not go to one of them.
-        new ArrayList<>(deliveries.settle(0, true).orElseThrow()).forEach(one -> one.what().settled(Subscription.How.LOST));
+        new ArrayList<>(deliveries.settle(0, true).orElseThrow()).forEach(one -> one.what().settled(Receiver.How.LOST, 0));
         for (Publication publication : open) {
             connection.server().pressure().changed(connection.id(), -1, -publication.body().length);
         }
--- a/src/main/java/slipfield/amqp/server/ServerConnection.java
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import slipfield.amqp.AmqpConfig;
 import slipfield.amqp.codec.AmqpError;
 import slipfield.amqp.codec.Frame;
 import slipfield.amqp.codec.FrameDecoder;
@@ -410,7 +411,7 @@
 
     String report() {
         StringBuilder line = new StringBuilder().append(peer()).append(" user ").append(user == null ? "-" : user.name())
-                .append(' ').append(state.name().toLowerCase(Locale.ROOT)).append(blocked ? " blocked" : "");
+                .append(' ').append(state.name().toLowerCase(Locale.ROOT)).append(blocked ? " blocked" : "").append(channel.isWritable() ? "" : " reads nothing");
         channels.forEach((number, c) -> line.append("; channel ").append(number).append(": unconfirmed ").append(c.open())
                 .append(", consumers ").append(c.deliveries().consumers().size()).append(", out ").append(c.deliveries().out()));
         return line.toString();
--- a/src/main/java/slipfield/amqp/server/Subscription.java
+++ b/src/main/java/slipfield/amqp/server/Subscription.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.ChannelFuture;
 import java.util.Map;
+import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.Receiver;
 import slipfield.amqp.codec.Frame;
 import slipfield.amqp.codec.Method;
 import slipfield.amqp.codec.MethodId;
@@ -9,25 +11,7 @@
 import slipfield.amqp.decide.Consumers;
 
 /** A consumer of a queue. */
-public final class Subscription {
-    /** How a delivery was settled. */
-    public enum How {
-        /** {@code basic.ack}. */
-        ACKED,
-        /** {@code basic.nack} or {@code basic.reject} with requeue: given back unseen. */
-        REQUEUED,
-        /** The same without. */
-        REJECTED,
-        /** Its channel or connection is gone. */
-        LOST
-    }
-
-    /** Hears of a delivery's settlement, once. */
-    public interface Delivered {
-        /** It was settled. */
-        void settled(How how);
-    }
-
+final class Subscription implements Receiver {
     private final ServerChannel channel;
     private final AmqpConfig.Queue queue;
     private final String tag;
@@ -40,32 +24,33 @@
         this.arguments = arguments;
     }
 
-    /** What it consumes. */
+    @Override
     public AmqpConfig.Queue queue() {
         return queue;
     }
 
-    /** Its endpoint's name. */
+    @Override
     public String name() {
         return Consumers.name(queue.name(), channel.user().name(), tag);
     }
 
-    /** Its {@code x-priority}, 0 where it told none. */
+    /** Its {@code x-priority}. */
+    @Override
     public int priority() {
         return arguments.get("x-priority") instanceof Number n ? n.intValue() : 0;
     }
 
-    /** How many deliveries it may have out at once. */
+    @Override
     public int slots() {
         return channel.deliveries().slots(tag);
     }
 
-    /** Whether it may have one more, and reads what it is sent. */
+    @Override
     public boolean room() {
         return channel.writable() && channel.deliveries().room(tag);
     }
 
-    /** Sends a message to it, which must have room; the future tells when the last octet is out. */
+    @Override
     public ChannelFuture deliver(Properties properties, byte[] body, boolean redelivered, Delivered then) {
         long number = channel.deliveries().deliver(tag, then, channel.nowMs());
         Method method = Method.of(MethodId.BASIC_DELIVER, tag, number, redelivered, "", queue.name());
--- a/src/main/java/slipfield/core/Parts.java
+++ b/src/main/java/slipfield/core/Parts.java
@@ -1,6 +1,7 @@
 package slipfield.core;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -24,7 +25,7 @@
     Map<String, Directory> directories(EventLoop loop);
 
     /** The ways in. */
-    List<Front> fronts(EventLoop loop, Desk desk);
+    List<Front> fronts(EventLoop loop, Desk desk) throws IOException;
 
     /** Accounts for its parts' time from now on. */
     void traced(Trace trace);
--- a/src/main/java/slipfield/daemon/AmqpParts.java
+++ b/src/main/java/slipfield/daemon/AmqpParts.java
@@ -2,9 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.function.Consumer;
-import slipfield.amqp.server.AmqpConfig;
+import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.client.Brokers;
 import slipfield.amqp.server.AmqpServer;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
@@ -26,6 +29,8 @@
     private AmqpServer server;
     private Queues queues;
     private Publications publications;
+    private EventLoop loop;
+    private String epoch;
 
     private AmqpParts(AmqpConfig config) {
         this.config = config;
@@ -41,8 +46,10 @@
     }
 
     Transport beside(Transport network, EventLoop loop, Transport.Ends ends) {
-        server = new AmqpServer(loop, config, Long.toHexString(System.currentTimeMillis()));
-        queues = new Queues(loop, config, ends);
+        epoch = Long.toHexString(System.currentTimeMillis());
+        server = new AmqpServer(loop, config, epoch);
+        this.loop = loop;
+        queues = new Queues(loop, config.limits().awayMs(), ends);
         return new Ways(network, queues);
     }
 
@@ -56,8 +63,17 @@
         return queues;
     }
 
-    Front front(Desk desk) {
-        publications.over(desk);
+    /** Connections, channels and what is unsettled, a line for each connection; asked on the core's loop. */
+    List<String> report() {
+        return server.report();
+    }
+
+    List<InetSocketAddress> addresses() {
+        return publications.addresses();
+    }
+
+    Front front(Desk desk) throws IOException {
+        publications.over(desk, new Brokers(loop, config, epoch, queues, publications));
         return publications;
     }
 }
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -120,6 +120,16 @@
         return addresses;
     }
 
+    /** Where AMQP listens, without TLS first; nowhere while it is off. */
+    List<InetSocketAddress> amqpAddresses() {
+        return amqp == null ? List.of() : amqp.addresses();
+    }
+
+    /** What stands at AMQP, a line for each connection; none where it is off. */
+    List<String> amqp() {
+        return amqp == null ? List.of() : sender.loop().submit(amqp::report).syncUninterruptibly().getNow();
+    }
+
     /** Ends in order, within the time before SIGKILL. */
     public void drain() {
         if (members != null) {
@@ -213,7 +223,7 @@
     }
 
     @Override
-    public List<Front> fronts(EventLoop loop, Desk desk) {
+    public List<Front> fronts(EventLoop loop, Desk desk) throws IOException {
         intake = new Intake(loop, config.listen(), mostClients, desk, clients == null ? Intake.Hints.NONE
                 : new Intake.Hints(clients.reconnectMs(), clients.waitScope(), Optional.ofNullable(ends)));
         return amqp == null ? List.of(intake) : List.of(intake, amqp.front(desk));
--- a/src/main/java/slipfield/front/amqp/Publications.java
+++ b/src/main/java/slipfield/front/amqp/Publications.java
@@ -11,12 +11,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import slipfield.amqp.client.Brokers;
 import slipfield.amqp.codec.ReplyCode;
 import slipfield.amqp.decide.Routes;
 import slipfield.amqp.server.AmqpServer;
-import slipfield.amqp.server.Publication;
-import slipfield.amqp.server.Publisher;
-import slipfield.amqp.server.Publishing;
+import slipfield.amqp.Publication;
+import slipfield.amqp.Publisher;
+import slipfield.amqp.Publishing;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
 import slipfield.core.Desk;
@@ -50,6 +51,8 @@
     private final Set<Publisher> due = new LinkedHashSet<>();
     private Desk desk;
     private Reading reading;
+    private Brokers brokers;
+    private volatile List<InetSocketAddress> addresses = List.of();
     private boolean closing;
     private long unnamed;
 
@@ -66,23 +69,31 @@
         this.heard = heard;
     }
 
-    /** Hands in at this desk. */
-    public void over(Desk at) {
+    /** Hands in at this desk, also what these brokers deliver. */
+    public void over(Desk at, Brokers from) {
         desk = at;
+        brokers = from;
         reading = new Reading(at);
     }
 
     @Override
     public InetSocketAddress listen() throws IOException {
-        List<InetSocketAddress> addresses = server.listen();
+        addresses = server.listen();
+        brokers.dial();
         addresses.stream().skip(1).forEach(more -> Log.info("amqp.listening", "address", Config.hostPort(more)));
         return addresses.get(0);
     }
 
+    /** Where it listens: without TLS first, where it does both. */
+    public List<InetSocketAddress> addresses() {
+        return addresses;
+    }
+
     @Override
     public void close() {
         closing = true;
         server.close();
+        brokers.close();
     }
 
     @Override
--- a/src/main/java/slipfield/front/amqp/Reading.java
+++ b/src/main/java/slipfield/front/amqp/Reading.java
@@ -5,7 +5,7 @@
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.Properties.Property;
 import slipfield.amqp.decide.Routes;
-import slipfield.amqp.server.Publication;
+import slipfield.amqp.Publication;
 import slipfield.config.BadInput;
 import slipfield.core.Desk;
 import slipfield.journal.Claim;
--- a/src/main/java/slipfield/transport/amqp/Queues.java
+++ b/src/main/java/slipfield/transport/amqp/Queues.java
@@ -11,12 +11,12 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
+import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.Consuming;
+import slipfield.amqp.Receiver;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.Properties.Property;
 import slipfield.amqp.decide.Consumers;
-import slipfield.amqp.server.AmqpConfig;
-import slipfield.amqp.server.Consuming;
-import slipfield.amqp.server.Subscription;
 import slipfield.core.Directory;
 import slipfield.core.Transport;
 import slipfield.journal.Held;
@@ -31,7 +31,8 @@
     private static final double DEFAULT_WEIGHT = 1;
 
     private final EventLoop loop;
-    private final AmqpConfig config;
+    /** By name, those of whoever came so far: one that left is told of once more. */
+    private final Map<String, AmqpConfig.Queue> queues = new HashMap<>();
     private final Ends ends;
     private final Consumers consumers;
     private final Map<String, Line> lines = new HashMap<>();
@@ -39,21 +40,21 @@
     private Lists lists;
     private Future<?> tick;
 
-    /** A consumer that is here, and the attempts that wait for it. */
+    /** One that is here, and the attempts that wait for it. */
     private static final class Line {
-        private final Subscription subscription;
+        private final Receiver receiver;
         private final Deque<Call> waiting = new ArrayDeque<>();
 
-        private Line(Subscription subscription) {
-            this.subscription = subscription;
+        private Line(Receiver receiver) {
+            this.receiver = receiver;
         }
     }
 
-    public Queues(EventLoop loop, AmqpConfig config, Ends ends) {
+    /** {@code awayMs}: one that left is remembered for so long. */
+    public Queues(EventLoop loop, long awayMs, Ends ends) {
         this.loop = loop;
-        this.config = config;
         this.ends = ends;
-        this.consumers = new Consumers(config.limits().awayMs());
+        this.consumers = new Consumers(awayMs);
     }
 
     // ---- consumers as endpoints ----
@@ -71,28 +72,29 @@
     }
 
     @Override
-    public boolean mayCome(Subscription subscription, boolean exclusive) {
-        return lists != null && consumers.mayCome(subscription.name(), subscription.queue().name(), exclusive);
+    public boolean mayCome(Receiver receiver, boolean exclusive) {
+        return lists != null && consumers.mayCome(receiver.name(), receiver.queue().name(), exclusive);
     }
 
     @Override
-    public void came(Subscription subscription, boolean exclusive) {
-        lines.put(subscription.name(), new Line(subscription));
-        tell(consumers.came(subscription.name(), subscription.queue().name(), exclusive),
-                Math.max(DEFAULT_WEIGHT, DEFAULT_WEIGHT + subscription.priority()));
+    public void came(Receiver receiver, boolean exclusive) {
+        lines.put(receiver.name(), new Line(receiver));
+        queues.put(receiver.queue().name(), receiver.queue());
+        tell(consumers.came(receiver.name(), receiver.queue().name(), exclusive),
+                Math.max(DEFAULT_WEIGHT, DEFAULT_WEIGHT + receiver.priority()));
     }
 
     @Override
-    public void left(Subscription subscription) {
-        Line line = lines.remove(subscription.name());
-        tell(consumers.left(subscription.name(), nowMs()), DEFAULT_WEIGHT);
+    public void left(Receiver receiver) {
+        Line line = lines.remove(receiver.name());
+        tell(consumers.left(receiver.name(), nowMs()), DEFAULT_WEIGHT);
         // They were not sent, and can go elsewhere.
         List.copyOf(line.waiting).forEach(call -> call.end(Outcome.NOT_SENT));
         forgetLater();
     }
 
     private void tell(Consumers.Entry entry, double weight) {
-        AmqpConfig.Queue queue = config.queues().get(entry.queue());
+        AmqpConfig.Queue queue = queues.get(entry.queue());
         lists.listed(false, List.of(new Entry(entry.name(), new ConsumerAddress(entry.name()), queue.zone(), queue.kind(),
                 queue.destination(), entry.serving(), weight, entry.gone())));
     }
@@ -154,9 +156,9 @@
         call.timer = loop.schedule(call::timedOut, (long) Math.ceil(leftMs * 1000), TimeUnit.MICROSECONDS);
         if (line == null) {
             call.end(Outcome.NOT_SENT);
-        } else if (line.waiting.isEmpty() && line.subscription.room()) {
+        } else if (line.waiting.isEmpty() && line.receiver.room()) {
             call.deliver();
-        } else if (line.waiting.size() < line.subscription.slots()) {
+        } else if (line.waiting.size() < line.receiver.slots()) {
             line.waiting.addLast(call);
         } else {
             call.end(Outcome.FULL);
@@ -165,9 +167,9 @@
     }
 
     @Override
-    public void room(Subscription subscription) {
-        Line line = lines.get(subscription.name());
-        while (line != null && !line.waiting.isEmpty() && subscription.room()) {
+    public void room(Receiver receiver) {
+        Line line = lines.get(receiver.name());
+        while (line != null && !line.waiting.isEmpty() && receiver.room()) {
             line.waiting.pollFirst().deliver();
         }
     }
@@ -216,7 +218,7 @@
                     .with(Property.CORRELATION_ID, held.key.orElse(null))
                     .with(Property.EXPIRATION, Long.toString(Math.max(1, (long) timeoutMs)))
                     .with(Property.TYPE, held.messageClass);
-            written = line.subscription.deliver(properties, held.body, number > 0, this::settled);
+            written = line.receiver.deliver(properties, held.body, number > 0, this::settled);
             written.addListener(f -> {
                 if (!f.isSuccess()) {
                     // The connection went before the last octet was out.
@@ -225,10 +227,10 @@
             });
         }
 
-        private void settled(Subscription.How how) {
+        private void settled(Receiver.How how, long waitMs) {
             switch (how) {
                 case ACKED -> end(Outcome.DELIVERED);
-                case REQUEUED -> end(Outcome.FULL);
+                case REQUEUED -> end(Outcome.FULL, waitMs);
                 case REJECTED -> end(Outcome.ERROR);
                 // Unless the write has failed, which is known when the connection is closed, it may have come over.
                 case LOST -> loop.execute(() -> end(written.isDone() && !written.isSuccess() ? Outcome.UNREACHABLE
@@ -243,6 +245,10 @@
         }
 
         private void end(Outcome outcome) {
+            end(outcome, 0);
+        }
+
+        private void end(Outcome outcome, long waitMs) {
             if (done) {
                 return;
             }
@@ -252,7 +258,7 @@
                 line.waiting.remove(this);
             }
             // Never at once: an end may be found while the module is being called.
-            loop.execute(() -> ends.ended(this, outcome, false, 0, 0));
+            loop.execute(() -> ends.ended(this, outcome, false, waitMs, 0));
         }
     }
 }
--- a/src/test/java/slipfield/amqp/decide/AmqpDecisionsTest.java
+++ b/src/test/java/slipfield/amqp/decide/AmqpDecisionsTest.java
@@ -260,6 +260,13 @@
         assertEquals(List.of(250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0, 8000.0, 8000.0), delays);
         assertEquals(250, guard.wrong("desk", 8), "each name by itself");
         assertEquals(250, guard.wrong("eve", 70_000), "after a minute it is forgotten");
+        for (int i = 10; i < 32; i++) {
+            assertTrue(guard.wrong("eve", 70_000) > 0);
+        }
+        assertEquals(0, guard.wrong("desk", 70_000), "so many are held back at once, no more");
+        guard.answered();
+        guard.answered();
+        assertTrue(guard.wrong("desk", 70_000) > 0);
     }
 
     // ---- who is read ----
--- /dev/null
+++ b/src/test/java/slipfield/daemon/AmqpBrokersTest.java
@@ -0,0 +1,160 @@
+package slipfield.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.rabbitmq.client.AMQP;
+import com.rabbitmq.client.Channel;
+import com.rabbitmq.client.Connection;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import slipfield.standin.SenderProcess;
+import slipfield.standin.Stub;
+import slipfield.standin.TrialWorld;
+import slipfield.standin.Venue;
+
+/** The sender as a client of a broker elsewhere, which is a second sender with a front and queues, as a process of its own. */
+@Timeout(90)
+class AmqpBrokersTest {
+    private static final long SOON_MS = 30_000;
+
+    @TempDir
+    private Path folder;
+    private final List<Connection> connections = new ArrayList<>();
+    private int port;
+    private TrialWorld elsewhere;
+    private SenderProcess broker;
+    private AmqpWorld here;
+
+    @BeforeEach
+    void open() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+        Path there = Files.createDirectory(folder.resolve("there"));
+        elsewhere = new TrialWorld(there, new TrialWorld.Size(1, 1e6, 0, 8000, 4000, 256));
+        Files.writeString(there.resolve("amqp.yaml"), AmqpWorld.file("127.0.0.1:" + port, ""));
+        broker = new SenderProcess(there, List.of(), SenderProcess.SMALL);
+        broker.start();
+        Path own = Files.createDirectory(folder.resolve("here"));
+        Files.writeString(own.resolve("secret"), AmqpWorld.PASSWORD + "\n");
+        here = new AmqpWorld(own, """
+                outbound:
+                  - {name: there, address: "127.0.0.1:%d", user: desk, password_file: secret, exchange: orders, key: order.1,
+                     destination: 9, kind: m, zone: a}
+                  - {name: astray, address: "127.0.0.1:%d", user: desk, password_file: secret, exchange: orders,
+                     key: nowhere, destination: 8, kind: m, zone: a}
+                inbound:
+                  - {name: feed, address: "127.0.0.1:%d", user: broker, password_file: secret, queue: venue-7,
+                     exchange: feed, tenant: desk}
+                """.formatted(port, port, port));
+        Path file = own.resolve("amqp.yaml");
+        Files.writeString(file, Files.readString(file).replace("exchanges:\n", """
+                exchanges:
+                  - name: feed
+                    routes: [{key: venue-7, class: order, destination: 1}]
+                """));
+        here.start();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        connections.forEach(Connection::abort);
+        here.close();
+        broker.close();
+        elsewhere.close();
+    }
+
+    private Channel publisher(int at) throws Exception {
+        Connection connection = AmqpWorld.factory("desk", at).newConnection();
+        connections.add(connection);
+        Channel channel = connection.createChannel();
+        channel.confirmSelect();
+        return channel;
+    }
+
+    private static void publish(Channel channel, String key, String id) throws Exception {
+        channel.basicPublish(AmqpWorld.EXCHANGE, key, true, new AMQP.BasicProperties.Builder().messageId(id)
+                .correlationId("key-" + id).build(), new byte[10]);
+    }
+
+    /** The broker has a consumer, the sender here a target: until then publishes are refused as without consumers. */
+    private void awaitLinks(Channel there, Channel own) throws Exception {
+        Stub.await("the links stand", () -> {
+            try {
+                publish(there, "order.7", "probe" + System.nanoTime());
+                publish(own, "order.9", "probe" + System.nanoTime());
+                return there.waitForConfirms(SOON_MS) & own.waitForConfirms(SOON_MS);
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    @Test
+    void whatABrokerTakesAndGivesIsConfirmedFromEndToEnd() throws Exception {
+        Channel there = publisher(port);
+        Channel own = publisher(here.address().getPort());
+        awaitLinks(there, own);
+        for (int i = 0; i < 300; i++) {
+            publish(there, "order.7", "in" + i);
+            publish(own, "order.9", "out" + i);
+        }
+        assertTrue(there.waitForConfirms(SOON_MS));
+        assertTrue(own.waitForConfirms(SOON_MS));
+        for (int i = 0; i < 300; i++) {
+            assertEquals(1, here.world.ledger().runs("key-in" + i).size(), "consumed there, delivered here");
+            assertEquals(1, elsewhere.ledger().runs("key-out" + i).size(), "published there, delivered there");
+        }
+    }
+
+    @Test
+    void whatTheBrokerReturnsIsRefusedAndNeverRan() throws Exception {
+        Channel own = publisher(here.address().getPort());
+        awaitLinks(publisher(port), own);
+        List<String> back = new CopyOnWriteArrayList<>();
+        own.addReturnListener(r -> back.add(r.getProperties().getHeaders().get("x-slipfield-end").toString()));
+        publish(own, "once.8", "lost");
+        own.waitForConfirms(SOON_MS);
+        assertEquals(List.of("refused"), back);
+    }
+
+    /** A broker that dies with publishes unconfirmed: keyed ones are published again when it is back, and it knows their ids. */
+    @Test
+    void aBrokerThatDiesAndComesBackRunsNothingTwice() throws Exception {
+        Channel own = publisher(here.address().getPort());
+        awaitLinks(publisher(port), own);
+        List<String> back = new CopyOnWriteArrayList<>();
+        own.addReturnListener(r -> back.add(r.getProperties().getMessageId() + " "
+                + r.getProperties().getHeaders().get("x-slipfield-end")));
+        elsewhere.venues().get(0).mood(Venue.Mood.SILENT);
+        for (int i = 0; i < 20; i++) {
+            publish(own, "order.9", "k" + i);
+            publish(own, "once.9", "u" + i);
+        }
+        Stub.await("some are out there", () -> here.report().stream().anyMatch(l -> l.contains("unconfirmed 40")));
+        broker.kill();
+        elsewhere.venues().get(0).mood(Venue.Mood.UP);
+        broker.start();
+        own.waitForConfirms(TimeUnit.SECONDS.toMillis(30));
+        for (int i = 0; i < 20; i++) {
+            String key = "key-k" + i;
+            List<Long> runs = elsewhere.ledger().runs(key);
+            assertTrue(runs.isEmpty() || runs.get(runs.size() - 1) - runs.get(0) <= TimeUnit.MILLISECONDS.toNanos(
+                    TrialWorld.WINDOW_MS), () -> key + " ran outside its window");
+            assertTrue(elsewhere.ledger().runs("key-u" + i).size() <= 1, "an unsafe one ran twice");
+            assertTrue(!runs.isEmpty() || back.toString().contains("k" + i + " "), () -> key + " was confirmed and never ran");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/slipfield/daemon/AmqpFramesTest.java
@@ -0,0 +1,326 @@
+package slipfield.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import slipfield.amqp.codec.Frame;
+import slipfield.amqp.codec.Method;
+import slipfield.amqp.codec.MethodId;
+import slipfield.amqp.codec.Properties;
+import slipfield.standin.Stub;
+
+/** What a good client can't send, frame by frame, against the whole sender; and that others are served meanwhile. */
+@Timeout(60)
+class AmqpFramesTest {
+    private static final Method PUBLISH = Method.of(MethodId.BASIC_PUBLISH, 0, AmqpWorld.EXCHANGE, "order.1", true, false);
+
+    @TempDir
+    private Path folder;
+    private AmqpWorld world;
+
+    @BeforeEach
+    void open() throws Exception {
+        world = new AmqpWorld(folder, "limits: {heartbeat: 1s, body_octets: 20000, unsettled: 300, unsettled_each: 200, "
+                + "connections: 80}\n").start();
+    }
+
+    @AfterEach
+    void close() {
+        world.close();
+    }
+
+    private RawPeer peer(String user) throws IOException {
+        return RawPeer.open(world.address(), user, 0);
+    }
+
+    private static Properties order(String id) {
+        return Properties.NONE.with(Properties.Property.MESSAGE_ID, id).with(Properties.Property.CORRELATION_ID, id);
+    }
+
+    private static void confirms(RawPeer peer) throws IOException {
+        peer.send(1, MethodId.CONFIRM_SELECT, false);
+        peer.await(MethodId.CONFIRM_SELECT_OK);
+    }
+
+    /** Publishers that behave are served, whatever the others do. */
+    private void othersAreServed() throws IOException {
+        try (RawPeer good = peer("desk")) {
+            confirms(good);
+            good.send(new Frame.Content(1, PUBLISH, order("good"), new byte[10]));
+            good.await(MethodId.BASIC_ACK);
+        }
+    }
+
+    private static int closed(RawPeer peer, MethodId close) throws IOException {
+        for (Frame frame = peer.next(); frame != null; frame = peer.next()) {
+            if (frame instanceof Frame.OfMethod m && m.method().id() == close) {
+                return (int) m.method().number("reply-code");
+            }
+        }
+        return 0;
+    }
+
+    private interface Sends {
+        void to(RawPeer peer) throws IOException;
+    }
+
+    private void closesConnection(int code, Sends sends) throws IOException {
+        try (RawPeer peer = peer("desk")) {
+            sends.to(peer);
+            assertEquals(code, closed(peer, MethodId.CONNECTION_CLOSE));
+            peer.send(0, MethodId.CONNECTION_CLOSE_OK);
+            assertNull(peer.next());
+        }
+    }
+
+    private void closesChannel(int code, Sends sends) throws IOException {
+        try (RawPeer peer = peer("desk")) {
+            sends.to(peer);
+            assertEquals(code, closed(peer, MethodId.CHANNEL_CLOSE));
+            // What was on its way is ignored; the connection lives on, and the channel can be opened again.
+            peer.send(new Frame.Content(1, PUBLISH, Properties.NONE, new byte[10]));
+            peer.send(1, MethodId.CHANNEL_CLOSE_OK);
+            peer.send(1, MethodId.CHANNEL_OPEN, "");
+            peer.await(MethodId.CHANNEL_OPEN_OK);
+        }
+    }
+
+    @Test
+    void hardErrorsCloseTheConnectionWithTheirCode() throws Exception {
+        Frame body = new Frame.OfBody(1, Unpooled.wrappedBuffer(new byte[10]));
+        closesConnection(505, p -> p.send(body));
+        closesConnection(505, p -> p.send(new Frame.OfHeader(1, 10, Properties.NONE)));
+        closesConnection(505, p -> {
+            confirms(p);
+            p.send(new Frame.OfMethod(1, PUBLISH));
+            p.send(1, MethodId.BASIC_QOS, 0L, 1, false);
+        });
+        closesConnection(501, p -> {
+            confirms(p);
+            p.send(new Frame.OfMethod(1, PUBLISH));
+            p.send(new Frame.OfHeader(1, 5, Properties.NONE));
+            p.send(new Frame.OfBody(1, Unpooled.wrappedBuffer(new byte[10])));
+        });
+        closesConnection(505, p -> p.send(new Frame.OfHeader(0, 10, Properties.NONE)));
+        closesConnection(503, p -> p.send(0, MethodId.BASIC_QOS, 0L, 1, false));
+        closesConnection(503, p -> p.send(1, MethodId.BASIC_QOS_OK));
+        closesConnection(503, p -> p.socket.getOutputStream().write(new byte[] {1, 0, 1, 0, 0, 0, 4, 0, 60, 0, 99, (byte) 0xCE}));
+        closesConnection(501, p -> p.socket.getOutputStream().write(new byte[] {3, 0, 1, 0, 1, 0, 0}));
+        closesConnection(504, p -> p.send(2, MethodId.BASIC_QOS, 0L, 1, false));
+        closesConnection(504, p -> p.send(1, MethodId.CHANNEL_OPEN, ""));
+        closesConnection(530, p -> p.send(65, MethodId.CHANNEL_OPEN, ""));
+        closesConnection(540, p -> p.send(1, MethodId.TX_SELECT));
+        closesConnection(540, p -> p.send(1, MethodId.BASIC_RECOVER, true));
+        Map<String, Object> table = new HashMap<>();
+        for (int i = 0; i < 200; i++) {
+            table = new HashMap<>(Map.of("t", table));
+        }
+        Map<String, Object> deep = table;
+        closesConnection(502, p -> p.send(1, MethodId.QUEUE_DECLARE, 0, "q", false, false, false, false, false, deep));
+        othersAreServed();
+    }
+
+    @Test
+    void softErrorsCloseTheChannelAlone() throws Exception {
+        closesChannel(406, p -> p.send(new Frame.OfMethod(1, PUBLISH)));
+        closesChannel(404, p -> {
+            confirms(p);
+            p.send(new Frame.OfMethod(1, Method.of(MethodId.BASIC_PUBLISH, 0, "nowhere", "order.1", true, false)));
+        });
+        closesChannel(311, p -> {
+            confirms(p);
+            p.send(new Frame.OfMethod(1, PUBLISH));
+            p.send(new Frame.OfHeader(1, 20_001, Properties.NONE));
+        });
+        closesChannel(406, p -> p.send(1, MethodId.BASIC_ACK, 1L, false));
+        closesChannel(403, p -> p.send(1, MethodId.BASIC_CONSUME, 0, AmqpWorld.QUEUE, "", false, false, false, false, Map.of()));
+        closesChannel(404, p -> p.send(1, MethodId.QUEUE_DECLARE, 0, "nowhere", false, false, false, false, false, Map.of()));
+        closesChannel(403, p -> p.send(1, MethodId.QUEUE_DELETE, 0, AmqpWorld.QUEUE, false, false, false));
+        othersAreServed();
+    }
+
+    @Test
+    void whatIsNoAmqpIsToldWhatIsSpokenHere() throws Exception {
+        try (RawPeer peer = new RawPeer(world.address())) {
+            peer.socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertArrayEquals(new byte[] {'A', 'M', 'Q', 'P', 0, 0, 9, 1}, peer.socket.getInputStream().readNBytes(8));
+            assertEquals(-1, peer.socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    void aBodyInTenThousandFramesIsOneMessage() throws Exception {
+        try (RawPeer peer = peer("desk")) {
+            confirms(peer);
+            peer.send(new Frame.OfMethod(1, PUBLISH));
+            peer.send(new Frame.OfHeader(1, 10_000, order("parts")));
+            for (int i = 0; i < 10_000; i++) {
+                peer.send(new Frame.OfBody(1, Unpooled.wrappedBuffer(new byte[] {(byte) i})));
+            }
+            assertEquals(1, peer.await(MethodId.BASIC_ACK).number("delivery-tag"));
+            assertEquals(1, world.world.ledger().runs("parts").size());
+        }
+    }
+
+    /** A connection that is cut inside a frame takes nothing with it that was whole, and adds nothing that was not. */
+    @Test
+    void aConnectionCutInsideAFrameLosesNothingThatWasWhole() throws Exception {
+        for (int cut : new int[] {1, 7, 20, 60, 90}) {
+            try (RawPeer peer = peer("desk")) {
+                confirms(peer);
+                peer.send(new Frame.Content(1, PUBLISH, order("whole" + cut), new byte[10]));
+                byte[] second = peer.octets(new Frame.Content(1, PUBLISH, order("part" + cut), new byte[10]));
+                peer.socket.getOutputStream().write(Arrays.copyOf(second, Math.min(cut, second.length - 1)));
+            }
+            Stub.await("what was whole is delivered", () -> world.world.ledger().runs("whole" + cut).size() == 1);
+            assertEquals(List.of(), world.world.ledger().runs("part" + cut));
+        }
+        othersAreServed();
+    }
+
+    @Test
+    void aPublisherThatReadsNothingIsReadNoFurther() throws Exception {
+        AtomicInteger sent = new AtomicInteger();
+        int most = 200_000;
+        try (RawPeer peer = peer("desk")) {
+            confirms(peer);
+            byte[] lost = peer.octets(new Frame.Content(1, Method.of(MethodId.BASIC_PUBLISH, 0, AmqpWorld.EXCHANGE, "nowhere",
+                    true, false), Properties.NONE, new byte[1000]));
+            Thread flood = new Thread(() -> {
+                try {
+                    while (sent.incrementAndGet() < most) {
+                        peer.socket.getOutputStream().write(lost);
+                    }
+                } catch (IOException closed) {
+                    // At the end of the test.
+                }
+            });
+            flood.start();
+            Stub.await("it is seen to read nothing", () -> world.report().stream().anyMatch(l -> l.contains("reads nothing")));
+            othersAreServed();
+            assertTrue(sent.get() < most, "all of it was taken in");
+            peer.close();
+            flood.join();
+        }
+        Stub.await("its connection is gone", () -> world.report().isEmpty());
+    }
+
+    /** Unsettled messages are bounded for one connection and for all, by pausing and not by refusing. */
+    @Test
+    void publishesByTheThousandArePausedAndAllConfirmed() throws Exception {
+        try (RawPeer consumer = peer("broker"); RawPeer peer = peer("desk")) {
+            consumer.send(1, MethodId.BASIC_QOS, 0L, 64, false);
+            consumer.send(1, MethodId.BASIC_CONSUME, 0, AmqpWorld.QUEUE, "c", false, false, false, false, Map.of());
+            consumer.await(MethodId.BASIC_CONSUME_OK);
+            confirms(peer);
+            Thread publishing = new Thread(() -> {
+                try {
+                    for (int i = 0; i < 2000; i++) {
+                        peer.send(new Frame.Content(1, Method.of(MethodId.BASIC_PUBLISH, 0, AmqpWorld.EXCHANGE, "order.7", true,
+                                false), order("p" + i), new byte[100]));
+                    }
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            publishing.start();
+            Stub.await("as much is unsettled as may be", () -> unconfirmed() >= 200);
+            // What one read holds is looked at before the pause takes hold.
+            assertTrue(unconfirmed() <= 200 + 300, "more than it may have: " + unconfirmed());
+            Thread acks = new Thread(() -> {
+                try {
+                    for (int i = 0; i < 2000; i++) {
+                        consumer.send(1, MethodId.BASIC_ACK, consumer.await(MethodId.BASIC_DELIVER).number("delivery-tag"), false);
+                    }
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            acks.start();
+            boolean[] confirmed = new boolean[2001];
+            for (int left = 2000; left > 0; ) {
+                Frame frame = peer.next();
+                assertTrue(frame instanceof Frame.OfMethod m && m.method().id() == MethodId.BASIC_ACK, () -> "heard " + frame);
+                Method ack = ((Frame.OfMethod) frame).method();
+                for (long t = ack.flag("multiple") ? 1 : ack.number("delivery-tag"); t <= ack.number("delivery-tag"); t++) {
+                    left -= confirmed[(int) t] ? 0 : 1;
+                    confirmed[(int) t] = true;
+                }
+            }
+            publishing.join();
+            acks.join();
+        }
+    }
+
+    private int unconfirmed() {
+        return world.report().stream().filter(l -> l.contains("unconfirmed ")).mapToInt(l -> Integer.parseInt(
+                l.replaceAll(".*unconfirmed ([0-9]+),.*", "$1"))).sum();
+    }
+
+    @Test
+    void aPeerThatMissesTwoHeartbeatsIsGone() throws Exception {
+        try (RawPeer silent = RawPeer.open(world.address(), "desk", 1)) {
+            long begun = System.nanoTime();
+            assertNull(silent.next());
+            assertTrue(System.nanoTime() - begun > TimeUnit.MILLISECONDS.toNanos(1900), "two of a second each");
+        }
+        othersAreServed();
+    }
+
+    @Test
+    void aThousandWrongPasswordsHarmNobodyElse() throws Exception {
+        AtomicInteger refused = new AtomicInteger();
+        AtomicInteger admitted = new AtomicInteger();
+        List<Thread> guessing = new ArrayList<>();
+        InetSocketAddress address = world.address();
+        for (int t = 0; t < 20; t++) {
+            guessing.add(new Thread(() -> {
+                for (int i = 0; i < 50; i++) {
+                    try (RawPeer peer = new RawPeer(address)) {
+                        peer.login("desk", "guess");
+                        // Nobody waits for seconds who guesses: the next try comes at once.
+                        peer.socket.setSoTimeout(50);
+                        Frame answer = peer.next();
+                        (answer instanceof Frame.OfMethod m && m.method().id() == MethodId.CONNECTION_TUNE ? admitted : refused)
+                                .incrementAndGet();
+                    } catch (IOException e) {
+                        refused.incrementAndGet();
+                    }
+                }
+            }));
+        }
+        guessing.forEach(Thread::start);
+        for (int i = 0; i < 3; i++) {
+            try (RawPeer broker = peer("broker")) {
+                assertFalse(broker.socket.isClosed());
+            }
+        }
+        for (Thread thread : guessing) {
+            thread.join();
+        }
+        assertEquals(0, admitted.get());
+        assertEquals(1000, refused.get());
+        Stub.await("connections of guesses are gone", () -> world.report().size() <= 40);
+        othersAreServed();
+    }
+}
--- /dev/null
+++ b/src/test/java/slipfield/daemon/AmqpRestartTest.java
@@ -0,0 +1,132 @@
+package slipfield.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.rabbitmq.client.AMQP;
+import com.rabbitmq.client.Channel;
+import com.rabbitmq.client.Connection;
+import com.rabbitmq.client.DefaultConsumer;
+import com.rabbitmq.client.Envelope;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import slipfield.standin.SenderProcess;
+import slipfield.standin.Stub;
+import slipfield.standin.TrialWorld;
+
+/** A sender that is killed (SIGKILL) while it owes confirms, as a process of its own. */
+@Timeout(90)
+class AmqpRestartTest {
+    private static final int MANY = 20;
+
+    @TempDir
+    private Path folder;
+    private final Map<String, List<Long>> runs = new ConcurrentHashMap<>();
+    /** Deliveries that said another thing of having been out before than was so. */
+    private final List<String> misnamed = new CopyOnWriteArrayList<>();
+    /** Until it is true, a consumer runs what it gets and acknowledges nothing. */
+    private volatile boolean acknowledges;
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private Connection consumer(int port) throws Exception {
+        Connection connection = AmqpWorld.factory("broker", port).newConnection();
+        Channel channel = connection.createChannel();
+        channel.basicConsume(AmqpWorld.QUEUE, false, "c", new DefaultConsumer(channel) {
+            @Override
+            public void handleDelivery(String tag, Envelope envelope, AMQP.BasicProperties properties, byte[] body)
+                    throws IOException {
+                List<Long> earlier = runs.computeIfAbsent(properties.getMessageId(), id -> new CopyOnWriteArrayList<>());
+                if (envelope.isRedeliver() == earlier.isEmpty()) {
+                    misnamed.add(properties.getMessageId());
+                }
+                earlier.add(System.nanoTime());
+                if (acknowledges) {
+                    channel.basicAck(envelope.getDeliveryTag(), false);
+                }
+            }
+        });
+        return connection;
+    }
+
+    private static Channel publish(Connection connection, String kind) throws IOException {
+        Channel channel = connection.createChannel();
+        channel.confirmSelect();
+        for (int i = 0; i < MANY; i++) {
+            channel.basicPublish(AmqpWorld.EXCHANGE, kind + ".7", true, new AMQP.BasicProperties.Builder()
+                    .messageId(kind + i).correlationId(kind + i).build(), new byte[10]);
+        }
+        return channel;
+    }
+
+    @Test
+    void whatWasUnconfirmedIsPublishedAgainAndRunsNoTwice() throws Exception {
+        int port = freePort();
+        try (TrialWorld world = new TrialWorld(folder, new TrialWorld.Size(1, 1e6, 0, 20_000, 4000, 500));
+                SenderProcess sender = new SenderProcess(folder, List.of(), SenderProcess.SMALL)) {
+            Files.writeString(folder.resolve("amqp.yaml"), AmqpWorld.file("127.0.0.1:" + port, "limits: {prefetch: 500}\n"));
+            sender.start();
+            Stub.await("AMQP listens", () -> consumerIsIn(port));
+            Connection first = AmqpWorld.factory("desk", port).newConnection();
+            Channel keyed = publish(first, TrialWorld.KEYED);
+            Channel once = publish(first, TrialWorld.ONCE);
+            Stub.await("all are out", () -> runs.size() == 2 * MANY);
+            sender.kill();
+            Stub.await("the publisher sees the connection go", () -> !first.isOpen());
+            assertTrue(!keyed.isOpen() && !once.isOpen());
+            acknowledges = true;
+            sender.start();
+            Stub.await("AMQP listens again", () -> consumerIsIn(port));
+            Connection second = AmqpWorld.factory("desk", port).newConnection();
+            List<String> back = new CopyOnWriteArrayList<>();
+            Channel keyedAgain = publish(second, TrialWorld.KEYED);
+            assertTrue(keyedAgain.waitForConfirms(TimeUnit.SECONDS.toMillis(30)), "keyed ones are delivered within the window");
+            Channel onceAgain = second.createChannel();
+            onceAgain.confirmSelect();
+            onceAgain.addReturnListener(r -> back.add(r.getProperties().getHeaders().get("x-slipfield-end").toString()));
+            for (int i = 0; i < MANY; i++) {
+                onceAgain.basicPublish(AmqpWorld.EXCHANGE, "once.7", true, new AMQP.BasicProperties.Builder()
+                        .messageId(TrialWorld.ONCE + i).build(), new byte[10]);
+            }
+            onceAgain.waitForConfirms(TimeUnit.SECONDS.toMillis(30));
+            assertEquals(MANY, back.size(), "what may have run, and must not run twice, is given up");
+            assertEquals(List.of(), back.stream().filter(end -> !end.equals("failed")).toList());
+            List<String> twice = new ArrayList<>();
+            runs.forEach((id, when) -> {
+                long span = when.get(when.size() - 1) - when.get(0);
+                if (when.size() > 1 && (id.startsWith(TrialWorld.ONCE) || span > TimeUnit.MILLISECONDS.toNanos(
+                        TrialWorld.WINDOW_MS))) {
+                    twice.add(id);
+                }
+            });
+            assertEquals(List.of(), twice);
+            assertEquals(List.of(), misnamed, "what went out in an earlier life says so");
+            second.abort();
+        }
+    }
+
+    private boolean consumerIsIn(int port) {
+        try {
+            consumer(port);
+            return true;
+        } catch (Exception notYet) {
+            return false;
+        }
+    }
+}
--- a/src/test/java/slipfield/daemon/AmqpTest.java
+++ b/src/test/java/slipfield/daemon/AmqpTest.java
@@ -2,14 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.rabbitmq.client.AMQP;
 import com.rabbitmq.client.Channel;
 import com.rabbitmq.client.Connection;
+import com.rabbitmq.client.ConnectionFactory;
 import com.rabbitmq.client.DefaultConsumer;
+import com.rabbitmq.client.DefaultSaslConfig;
 import com.rabbitmq.client.Envelope;
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -22,6 +29,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import slipfield.standin.Stub;
 
 /** Publishers and consumers of a client library that is not ours, against the whole sender. */
 class AmqpTest {
@@ -187,4 +195,132 @@
         publish(publisher, "order.1", "m1");
         assertEquals("ack 7", next());
     }
+
+    private void acknowledging(String tag, int prefetch) throws Exception {
+        Channel channel = channel("broker");
+        channel.basicQos(prefetch);
+        channel.basicConsume(AmqpWorld.QUEUE, false, tag, new DefaultConsumer(channel) {
+            @Override
+            public void handleDelivery(String consumerTag, Envelope envelope, AMQP.BasicProperties properties, byte[] body)
+                    throws IOException {
+                channel.basicAck(envelope.getDeliveryTag(), false);
+            }
+        });
+    }
+
+    @Test
+    void aConsumerThatStopsAcknowledgingIsCutOffWhileOthersGoOn() throws Exception {
+        world = new AmqpWorld(folder, "limits: {ack_within: 2s}\n").start();
+        Channel silent = channel("broker");
+        BlockingQueue<Seen> kept = consumer(silent, "silent", 5);
+        acknowledging("good", 50);
+        Channel publisher = publisher();
+        for (int i = 1; i <= 300; i++) {
+            publish(publisher, "order.7", "m" + i);
+        }
+        next(kept);
+        assertTrue(publisher.waitForConfirms(TimeUnit.SECONDS.toMillis(SOON_S)), "all were delivered, by the other one");
+        Stub.await("the silent one's channel is closed", () -> !silent.isOpen());
+        assertEquals(406, ((AMQP.Channel.Close) silent.getCloseReason().getReason()).getReplyCode());
+        assertTrue(kept.size() < 50, "it got " + kept.size() + " while it was silent");
+    }
+
+    /** What a closed channel had out may have run: one that must not run twice is given up, a keyed one goes elsewhere. */
+    @Test
+    void aChannelClosedBetweenDeliveryAndAckMayHaveRun() throws Exception {
+        world = new AmqpWorld(folder).start();
+        Channel publisher = publisher();
+        BlockingQueue<Seen> seen = consumer(channel("broker"), "c", 10);
+        publish(publisher, "once.7", "m1");
+        next(seen).channel.close();
+        assertEquals("return 541 failed m1", next());
+        assertEquals("nack 1", next());
+        seen = consumer(channel("broker"), "c", 10);
+        publish(publisher, "order.7", "m2");
+        next(seen).channel.close();
+        BlockingQueue<Seen> other = consumer(channel("broker"), "d", 10);
+        Seen again = next(other);
+        assertEquals("m2 true", again.properties.getMessageId() + " " + again.envelope.isRedeliver());
+        again.channel.basicAck(again.envelope.getDeliveryTag(), false);
+        assertEquals("ack 2", next());
+    }
+
+    @Test
+    void anIdThatComesOverHttpAndAmqpAtOnceIsOneMessage() throws Exception {
+        world = new AmqpWorld(folder).start();
+        BlockingQueue<Seen> seen = consumer(channel("broker"), "c", 10);
+        Channel publisher = publisher();
+        for (int i = 1; i <= 20; i++) {
+            boolean httpFirst = i % 2 == 0;
+            if (httpFirst) {
+                assertEquals(202, handIn("m" + i));
+            }
+            publish(publisher, "order.7", "m" + i);
+            if (!httpFirst) {
+                assertEquals(202, handIn("m" + i));
+            }
+            Seen one = next(seen);
+            assertEquals("m" + i, one.properties.getMessageId());
+            one.channel.basicAck(one.envelope.getDeliveryTag(), false);
+            assertEquals("ack " + i, next());
+            assertEquals(202, handIn("m" + i), "delivered a moment ago");
+        }
+        assertTrue(seen.isEmpty(), "one of them came twice");
+    }
+
+    private int handIn(String id) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                + world.daemon.addresses().get(0).getPort() + "/order")).header("X-Call-Id", id)
+                .header("X-Caller", "desk").header("X-Budget-Ms", "5000").header("X-Envelope", "dest=7")
+                .header("Idempotency-Key", "key-" + id).POST(HttpRequest.BodyPublishers.ofString("body")).build();
+        return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    /** What is out has its end before the connections of both sides are closed with 320. */
+    @Test
+    void aDrainEndsWhatIsOutBeforeItClosesConnections() throws Exception {
+        world = new AmqpWorld(folder).start();
+        BlockingQueue<Seen> seen = consumer(channel("broker"), "c", 10);
+        Channel publisher = publisher();
+        publish(publisher, "once.7", "m1");
+        Seen out = next(seen);
+        Thread drain = new Thread(world.daemon::drain);
+        drain.start();
+        Connection idle = world.connect("desk");
+        connections.add(idle);
+        Stub.await("one with nothing out is closed", () -> !idle.isOpen());
+        assertEquals(320, ((AMQP.Connection.Close) idle.getCloseReason().getReason()).getReplyCode());
+        assertTrue(heard.isEmpty() && publisher.isOpen() && out.channel.isOpen());
+        out.channel.basicAck(out.envelope.getDeliveryTag(), false);
+        assertEquals("ack 1", next());
+        Stub.await("both are closed", () -> !publisher.isOpen() && !out.channel.isOpen());
+        assertEquals(320, ((AMQP.Connection.Close) out.channel.getCloseReason().getReason()).getReplyCode());
+        drain.join();
+    }
+
+    /** Both names and secrets by TLS, and a certificate in place of a secret. */
+    @Test
+    void aCertificateNamesItsUser() throws Exception {
+        Certificates certificates = new Certificates(folder);
+        world = new AmqpWorld(folder, "tls: {listen: \"127.0.0.1:0\", certificate: server.pem, key: server.key, "
+                + "clients: ca.pem}\n").start();
+        int port = world.daemon.amqpAddresses().get(1).getPort();
+        ConnectionFactory factory = AmqpWorld.factory("nobody", port);
+        factory.setSaslConfig(DefaultSaslConfig.EXTERNAL);
+        factory.useSslProtocol(certificates.client("desk"));
+        Connection connection = factory.newConnection();
+        connections.add(connection);
+        Channel channel = connection.createChannel();
+        channel.confirmSelect();
+        publish(channel, "order.1", "m1");
+        assertTrue(channel.waitForConfirms(TimeUnit.SECONDS.toMillis(SOON_S)));
+        factory.useSslProtocol(certificates.client("stranger"));
+        assertThrows(IOException.class, factory::newConnection);
+        ConnectionFactory plain = AmqpWorld.factory("desk", port);
+        plain.useSslProtocol(certificates.client("stranger"));
+        connections.add(plain.newConnection());
+        ConnectionFactory open = AmqpWorld.factory("desk", world.address().getPort());
+        open.setSaslConfig(DefaultSaslConfig.EXTERNAL);
+        assertThrows(IOException.class, open::newConnection, "no certificate, no name");
+    }
 }
--- a/src/test/java/slipfield/daemon/AmqpWorld.java
+++ b/src/test/java/slipfield/daemon/AmqpWorld.java
@@ -6,9 +6,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
-import slipfield.amqp.server.Secret;
+import slipfield.amqp.Secret;
 import slipfield.config.Config;
 import slipfield.standin.TrialWorld;
 
@@ -67,6 +68,10 @@
         return daemon.addresses().get(1);
     }
 
+    List<String> report() {
+        return daemon.amqp();
+    }
+
     static ConnectionFactory factory(String user, int port) {
         ConnectionFactory factory = new ConnectionFactory();
         factory.setHost("127.0.0.1");
