--- a/src/main/java/slipfield/amqp/client/BrokerLink.java
+++ b/src/main/java/slipfield/amqp/client/BrokerLink.java
@@ -32,10 +32,13 @@
 import slipfield.amqp.decide.Tuning;
 import slipfield.log.Log;
 
-/** A connection to a broker with one channel, dialled again whenever it is down. */
-final class BrokerLink {
+/**
+ * A connection to a broker with one channel, dialled again whenever it is down. Whoever opens more channels on it, as
+ * stand-ins do, hears of what comes on them as on the one.
+ */
+public final class BrokerLink {
     /** The one channel. */
-    static final int CHANNEL = 1;
+    public static final int CHANNEL = 1;
     private static final int CONNECT_MS = 2000;
     /** From connecting until the channel is open. */
     private static final long OPEN_MS = 10_000;
@@ -45,7 +48,7 @@
     private static final int FLUSH_AFTER = 256;
 
     /** Hears of the link. On the loop's thread. */
-    interface Listener {
+    public interface Listener {
         /** The channel is open. */
         void opened();
 
@@ -74,7 +77,7 @@
     private boolean ended;
 
     /** Will be to this broker; {@code mostBody}: octets of a content at most. */
-    BrokerLink(EventLoop loop, AmqpConfig.Broker broker, Optional<SslContext> tls, Tuning tuning, int mostBody,
+    public BrokerLink(EventLoop loop, AmqpConfig.Broker broker, Optional<SslContext> tls, Tuning tuning, int mostBody,
             Listener listener) {
         this.loop = loop;
         this.broker = broker;
@@ -86,7 +89,7 @@
     }
 
     /** Connects, and again whenever it is down. */
-    void dial() {
+    public void dial() {
         new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
@@ -113,23 +116,26 @@
     }
 
     /** Closes it for good. */
-    void end() {
+    public void end() {
         ended = true;
         if (channel != null) {
             channel.close();
         }
     }
 
-    boolean writable() {
+    /** Whether it stands and takes more at once. */
+    public boolean writable() {
         return open && channel.isWritable();
     }
 
-    ChannelFuture send(MethodId id, Object... arguments) {
-        return channel.writeAndFlush(new Frame.OfMethod(CHANNEL, Method.of(id, arguments)));
+    /** Sends a method on the channel. */
+    public ChannelFuture send(MethodId id, Object... arguments) {
+        return send(new Frame.OfMethod(CHANNEL, Method.of(id, arguments)));
     }
 
-    ChannelFuture send(Frame.Content content) {
-        return channel.writeAndFlush(content);
+    /** Sends a frame, or a method with its content. */
+    public ChannelFuture send(Frame frame) {
+        return channel.writeAndFlush(frame);
     }
 
     /** Gives up the connection at hand, since the broker does what it must not; it is dialled again. */
@@ -260,6 +266,9 @@
         private void ofChannel(Method m) {
             switch (m.id()) {
                 case CHANNEL_OPEN_OK -> {
+                    if (open) {
+                        return;
+                    }
                     inTime.cancel(false);
                     open = true;
                     redial.opened(nowMs());
--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -147,8 +147,8 @@
         return connections.size();
     }
 
-    /** What stands, for people: a line for each connection. */
-    public List<String> report() {
+    /** What stands, for people. */
+    public List<ConnectionReport> report() {
         return connections.values().stream().map(ServerConnection::report).toList();
     }
 
--- a/src/main/java/slipfield/amqp/server/ServerConnection.java
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -409,12 +409,12 @@
         return channel.remoteAddress() instanceof InetSocketAddress address ? Config.hostPort(address) : "unknown";
     }
 
-    String report() {
-        StringBuilder line = new StringBuilder().append(peer()).append(" user ").append(user == null ? "-" : user.name())
-                .append(' ').append(state.name().toLowerCase(Locale.ROOT)).append(blocked ? " blocked" : "").append(channel.isWritable() ? "" : " reads nothing");
-        channels.forEach((number, c) -> line.append("; channel ").append(number).append(": unconfirmed ").append(c.open())
-                .append(", consumers ").append(c.deliveries().consumers().size()).append(", out ").append(c.deliveries().out()));
-        return line.toString();
+    ConnectionReport report() {
+        List<ConnectionReport.ChannelReport> each = channels.entrySet().stream().map(c -> new ConnectionReport.ChannelReport(
+                c.getKey(), c.getValue().open(), c.getValue().deliveries().consumers().size(),
+                c.getValue().deliveries().out())).toList();
+        return new ConnectionReport(peer(), user == null ? "" : user.name(), state.name().toLowerCase(Locale.ROOT),
+                !server.pressure().reads(id), !channel.isWritable(), each);
     }
 
 }
--- a/src/main/java/slipfield/cli/BenchCommand.java
+++ b/src/main/java/slipfield/cli/BenchCommand.java
@@ -55,8 +55,43 @@
             + "are taken, and what one costs it.")
     private boolean library;
 
+    @Option(names = "--amqp", description = "Measures in turn, on the same core: the baseline, desks over HTTP, AMQP publishers to "
+            + "venues over HTTP, and AMQP publishers to AMQP consumers; each confirmed from end to end.")
+    private boolean amqp;
+
+    @Option(names = "--resting", paramLabel = "N", description = "With --amqp: measures so many connections that do nothing, ten "
+            + "channels each, in place of the rest.")
+    private int resting;
+
     @Override
     public Integer call() throws Exception {
+        if (amqp && resting > 0) {
+            AmqpBench bench = new AmqpBench(spec.commandLine().getOut(), desks, warmUp, seconds);
+            return (int) in((folder, world) -> {
+                bench.prepare(folder);
+                try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
+                    sender.start();
+                    return bench.rest(resting, sender) < resting ? 1 : 0;
+                }
+            });
+        }
+        if (amqp) {
+            AmqpBench bench = new AmqpBench(spec.commandLine().getOut(), desks, warmUp, seconds);
+            bench.out().print("baseline:                  ");
+            beside();
+            bench.out().print("HTTP to HTTP:              ");
+            sender();
+            for (AmqpBench.To to : AmqpBench.To.values()) {
+                in((folder, world) -> {
+                    bench.prepare(folder);
+                    try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
+                        sender.start();
+                        return bench.run(to, sender);
+                    }
+                });
+            }
+            return 0;
+        }
         if (library) {
             return (int) in((folder, world) -> {
                 try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
--- a/src/main/java/slipfield/cli/Cli.java
+++ b/src/main/java/slipfield/cli/Cli.java
@@ -1,5 +1,6 @@
 package slipfield.cli;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -7,6 +8,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 import slipfield.Main;
+import slipfield.config.Config;
 
 /** All commands, with their help. */
 @Command(name = "slipfield", mixinStandardHelpOptions = true, version = "slipfield 0.1",
@@ -14,14 +16,20 @@
         footer = {"", "New here? 'slipfield try' runs the whole of it on this machine, with stand-ins."},
         subcommands = {Cli.Serve.class, Cli.Simhost.class, TryCommand.class, BenchCommand.class,
             JournalCommand.class, MembersCommand.class, FlipsCommand.class, StandInCommand.class,
-            ConvertCommand.class, SendCommand.class, ReconnectsCommand.class, OutageCommand.class})
+            ConvertCommand.class, SendCommand.class, ReconnectsCommand.class, OutageCommand.class,
+            AmqpCommand.class})
 public final class Cli implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
     /** Runs the command that these arguments name; returns the exit code: 2 where they can't be read. */
     public static int run(String... args) {
-        return new CommandLine(new Cli()).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
+        return commandLine().execute(args);
+    }
+
+    static CommandLine commandLine() {
+        return new CommandLine(new Cli()).setCaseInsensitiveEnumValuesAllowed(true)
+                .registerConverter(InetSocketAddress.class, Config::address);
     }
 
     @Override
--- a/src/main/java/slipfield/cli/TryCommand.java
+++ b/src/main/java/slipfield/cli/TryCommand.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -20,8 +21,11 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
+import slipfield.config.Config;
+import slipfield.standin.AmqpPeers;
 import slipfield.standin.ConsulAgent;
 import slipfield.standin.Ledger;
+import slipfield.standin.Platform;
 import slipfield.standin.SenderProcess;
 import slipfield.standin.TrialWorld;
 import slipfield.standin.Venue;
@@ -66,6 +70,9 @@
     @Option(names = "--library", description = "Orders come by the client library, which follows each to its end; without "
             + "--json.")
     private boolean library;
+    @Option(names = "--amqp", paramLabel = "HOST:PORT", description = "Opens AMQP there besides, with a user guest (password "
+            + "guest), an exchange orders and a queue to-consume; the sender is not killed unless --kill-at says so.")
+    private InetSocketAddress amqp;
     @Option(names = "--json", paramLabel = "FILE", description = "Writes the result there too.")
     private Path json;
     @Option(names = "--folder", paramLabel = "FOLDER",
@@ -114,7 +121,16 @@
             if (library) {
                 Files.writeString(at.resolve("clients.yaml"), "reconnect_within: 300ms\nends: {keep: 1m}\n");
             }
+            if (amqp != null) {
+                Files.writeString(at.resolve("amqp.yaml"), AmqpPeers.file(amqp));
+            }
             sender.start();
+            if (amqp != null) {
+                out().printf("AMQP 0-9-1 at %s, user guest, password guest. Publish to exchange %s with confirms: %s.%d goes to the "
+                        + "venues, %s.%d to the consumers of queue %s.%nWho is connected: bin/slipfield amqp show %s%n",
+                        Config.hostPort(amqp), AmqpPeers.EXCHANGE, TrialWorld.KEYED, Platform.DESTINATION, TrialWorld.KEYED,
+                        AmqpPeers.CONSUMED, AmqpPeers.QUEUE, at.resolve("state"));
+            }
             out().printf(Locale.ROOT, "The sender is up; %.0f orders a second for %d s.%n", rate, seconds);
             if (library) {
                 return byLibrary(world, sender);
@@ -143,7 +159,7 @@
     }
 
     private void play(TrialWorld world, SenderProcess sender) throws IOException, InterruptedException {
-        double kill = killAt < 0 ? seconds / 2.0 : killAt;
+        double kill = killAt >= 0 ? killAt : amqp == null ? seconds / 2.0 : 0;
         Venue moody = world.venues().get(0);
         long begun = System.nanoTime();
         boolean killed = kill == 0;
--- a/src/main/java/slipfield/daemon/AmqpParts.java
+++ b/src/main/java/slipfield/daemon/AmqpParts.java
@@ -5,10 +5,12 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import slipfield.amqp.AmqpConfig;
 import slipfield.amqp.client.Brokers;
 import slipfield.amqp.server.AmqpServer;
+import slipfield.amqp.server.ConnectionReport;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
 import slipfield.core.Desk;
@@ -18,6 +20,7 @@
 import slipfield.core.Transport;
 import slipfield.front.amqp.Publications;
 import slipfield.journal.Owed;
+import slipfield.state.KeptJson;
 import slipfield.transport.amqp.Queues;
 
 /** What AMQP adds to a sender. No class of it is loaded unless the operator's file is named. */
@@ -25,20 +28,30 @@
     /** The outcome's and the directory's name. */
     static final String NAME = Publications.NAME;
 
+    /** The file of what stands, in the state folder, written so often. */
+    static final String VIEW = "amqp.json";
+    private static final long VIEW_MS = 1000;
+
     private final AmqpConfig config;
     private AmqpServer server;
     private Queues queues;
     private Publications publications;
+    private final KeptJson view;
     private EventLoop loop;
     private String epoch;
 
-    private AmqpParts(AmqpConfig config) {
+    private AmqpParts(AmqpConfig config, Path state) {
         this.config = config;
+        this.view = new KeptJson(state.resolve(VIEW), "amqp.view_unwritable");
     }
 
     static AmqpParts read(Path file, Config sender) throws IOException, BadInput {
         return new AmqpParts(AmqpConfig.read(file, new AmqpConfig.Known(sender.classes(), sender.tenants(),
-                sender.kinds(), sender.zones())));
+                sender.kinds(), sender.zones())), sender.state());
+    }
+
+    /** What the file holds. */
+    record View(long writtenMs, List<ConnectionReport> connections) {
     }
 
     int idsKnown() {
@@ -63,8 +76,8 @@
         return queues;
     }
 
-    /** Connections, channels and what is unsettled, a line for each connection; asked on the core's loop. */
-    List<String> report() {
+    /** Connections, channels and what is unsettled; asked on the core's loop. */
+    List<ConnectionReport> report() {
         return server.report();
     }
 
@@ -74,6 +87,11 @@
 
     Front front(Desk desk) throws IOException {
         publications.over(desk, new Brokers(loop, config, epoch, queues, publications));
+        loop.scheduleWithFixedDelay(() -> {
+            List<ConnectionReport> now = report();
+            long wallMs = System.currentTimeMillis();
+            view.write(() -> new View(wallMs, now));
+        }, VIEW_MS, VIEW_MS, TimeUnit.MILLISECONDS);
         return publications;
     }
 }
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import slipfield.agent.Agent;
+import slipfield.amqp.server.ConnectionReport;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
 import slipfield.core.Desk;
@@ -125,8 +126,8 @@
         return amqp == null ? List.of() : amqp.addresses();
     }
 
-    /** What stands at AMQP, a line for each connection; none where it is off. */
-    List<String> amqp() {
+    /** What stands at AMQP; nothing where it is off. */
+    List<ConnectionReport> amqp() {
         return amqp == null ? List.of() : sender.loop().submit(amqp::report).syncUninterruptibly().getNow();
     }
 
--- a/src/main/java/slipfield/directory/merged/ViewFile.java
+++ b/src/main/java/slipfield/directory/merged/ViewFile.java
@@ -7,54 +7,44 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import slipfield.log.Log;
 import slipfield.membership.Instance;
 import slipfield.membership.Member;
 import slipfield.membership.Membership;
 import slipfield.membership.Status;
+import slipfield.state.KeptJson;
 
 /**
- * The view on disk: what each source said last, for the next life, and the merged view, for whoever asks. Written whole
- * beside the old one and moved over it, on a thread of its own, since a disk may be slow. One that can't be read counts
- * as none.
+ * The view on disk: what each source said last, for the next life, and the merged view, for whoever asks. One that can't
+ * be read counts as none.
  */
 final class ViewFile implements AutoCloseable {
     private static final int VERSION = 1;
 
-    private final Path path;
+    private final KeptJson file;
     private final JsonMapper json = JsonMapper.builder().build();
-    private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
-        Thread thread = new Thread(task, "members-file");
-        thread.setDaemon(true);
-        return thread;
-    });
-    private boolean failed;
 
     /** What a source had said, and when by the wall clock. */
     record Recalled(long heardMs, List<Instance> instances) {
     }
 
     ViewFile(Path folder) {
-        this.path = folder.resolve(Members.VIEW);
+        this.file = new KeptJson(folder.resolve(Members.VIEW), "members.view_unwritable");
     }
 
     /** What was kept of this source; nothing where none was, or the file is damaged. */
     Recalled recall(String source) {
         List<Instance> instances = new ArrayList<>();
         try {
-            if (!Files.exists(path)) {
+            if (!Files.exists(file.path())) {
                 return new Recalled(0, List.of());
             }
-            JsonNode kept = json.readTree(Files.readAllBytes(path));
+            JsonNode kept = json.readTree(Files.readAllBytes(file.path()));
             JsonNode of = kept.path("sources").path(source);
             for (JsonNode i : of.path("instances")) {
                 instances.add(new Instance(i.path("id").asText(), i.path("address").asText(),
@@ -82,7 +72,7 @@
         Map<String, Collection<Instance>> told = new HashMap<>();
         states.keySet().forEach(source -> told.put(source, membership.told(source)));
         Snapshot taken = new Snapshot(states, told, membership.held(), membership.members(), nowMs, wallMs);
-        writer.execute(() -> put(view(taken)));
+        file.write(() -> view(taken));
     }
 
     private ObjectNode view(Snapshot taken) {
@@ -111,28 +101,9 @@
         return view;
     }
 
-    private void put(ObjectNode view) {
-        Path fresh = path.resolveSibling(Members.VIEW + ".new");
-        try {
-            Files.write(fresh, json.writeValueAsBytes(view));
-            Files.move(fresh, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-            failed = false;
-        } catch (IOException e) {
-            if (!failed) {
-                failed = true;
-                Log.warn("members.view_unwritable", "cause", e);
-            }
-        }
-    }
-
     /** What was to be written is, if the disk lets it. */
     @Override
     public void close() {
-        writer.shutdown();
-        try {
-            writer.awaitTermination(1, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        file.close();
     }
 }
--- a/src/main/java/slipfield/standin/TrialWorld.java
+++ b/src/main/java/slipfield/standin/TrialWorld.java
@@ -134,7 +134,7 @@
      * to connections going out: while the sender is away desks try it so often that one would be given it, connect to
      * itself, and keep the sender from it.
      */
-    private static InetSocketAddress freeAddress() throws IOException {
+    public static InetSocketAddress freeAddress() throws IOException {
         IOException taken = new IOException("no port is free");
         for (int i = 0; i < 100; i++) {
             int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
--- a/src/test/java/slipfield/cli/CliTest.java
+++ b/src/test/java/slipfield/cli/CliTest.java
@@ -18,7 +18,6 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import picocli.CommandLine;
 import slipfield.config.BadInput;
 import slipfield.directory.merged.MembersConfig;
 import slipfield.membership.Status;
@@ -34,8 +33,7 @@
     private final StringWriter err = new StringWriter();
 
     private int run(String... args) {
-        return new CommandLine(new Cli()).setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true))
-                .execute(args);
+        return Cli.commandLine().setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true)).execute(args);
     }
 
     @Test
@@ -146,6 +144,24 @@
         assertEquals(2, run("try", "--library", "--json", "x"));
     }
 
+    @Test
+    void whoIsConnectedOverAmqpIsShown() throws Exception {
+        assertEquals(2, run("amqp", "show", folder.toString()));
+        assertTrue(err.toString().contains("SLIPFIELD_AMQP"), err.toString());
+        String view = """
+                {"writtenMs":%d,"connections":[{"peer":"127.0.0.1:1","user":"desk","state":"in_service","paused":%b,
+                 "readsNothing":false,"channels":[{"number":1,"unconfirmed":3,"consumers":0,"out":0},
+                 {"number":2,"unconfirmed":4,"consumers":1,"out":5}]}]}""";
+        Files.writeString(folder.resolve("amqp.json"), view.formatted(System.currentTimeMillis(), false));
+        assertEquals(0, run("amqp", "show", folder.toString()));
+        assertTrue(out.toString().matches("(?s).*127.0.0.1:1 +desk +in_service +2 +7 +1 +5\n.*"), out.toString());
+        Files.writeString(folder.resolve("amqp.json"), view.formatted(System.currentTimeMillis(), true));
+        assertEquals(1, run("amqp", "show", folder.toString()));
+        assertTrue(out.toString().contains("paused"), out.toString());
+        assertEquals(2, run("try", "--amqp", "nowhere"));
+        assertTrue(err.toString().contains("not an address with a port: 'nowhere'"), err.toString());
+    }
+
     @Test
     void aFileOfBeforeIsConvertedToOneThatIsRead() throws Exception {
         Path old = folder.resolve("members.conf");
--- a/src/test/java/slipfield/daemon/AmqpBrokersTest.java
+++ b/src/test/java/slipfield/daemon/AmqpBrokersTest.java
@@ -143,7 +143,7 @@
             publish(own, "order.9", "k" + i);
             publish(own, "once.9", "u" + i);
         }
-        Stub.await("some are out there", () -> here.report().stream().anyMatch(l -> l.contains("unconfirmed 40")));
+        Stub.await("some are out there", () -> here.report().stream().anyMatch(c -> c.unconfirmed() == 40));
         broker.kill();
         elsewhere.venues().get(0).mood(Venue.Mood.UP);
         broker.start();
--- a/src/test/java/slipfield/daemon/AmqpFramesTest.java
+++ b/src/test/java/slipfield/daemon/AmqpFramesTest.java
@@ -27,6 +27,7 @@
 import slipfield.amqp.codec.Method;
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
+import slipfield.amqp.server.ConnectionReport;
 import slipfield.standin.Stub;
 
 /** What a good client can't send, frame by frame, against the whole sender; and that others are served meanwhile. */
@@ -216,7 +217,7 @@
                 }
             });
             flood.start();
-            Stub.await("it is seen to read nothing", () -> world.report().stream().anyMatch(l -> l.contains("reads nothing")));
+            Stub.await("it is seen to read nothing", () -> world.report().stream().anyMatch(ConnectionReport::readsNothing));
             othersAreServed();
             assertTrue(sent.get() < most, "all of it was taken in");
             peer.close();
@@ -273,8 +274,7 @@
     }
 
     private int unconfirmed() {
-        return world.report().stream().filter(l -> l.contains("unconfirmed ")).mapToInt(l -> Integer.parseInt(
-                l.replaceAll(".*unconfirmed ([0-9]+),.*", "$1"))).sum();
+        return world.report().stream().mapToInt(ConnectionReport::unconfirmed).sum();
     }
 
     @Test
--- a/src/test/java/slipfield/daemon/AmqpRestartTest.java
+++ b/src/test/java/slipfield/daemon/AmqpRestartTest.java
@@ -88,8 +88,7 @@
             Channel once = publish(first, TrialWorld.ONCE);
             Stub.await("all are out", () -> runs.size() == 2 * MANY);
             sender.kill();
-            Stub.await("the publisher sees the connection go", () -> !first.isOpen());
-            assertTrue(!keyed.isOpen() && !once.isOpen());
+            Stub.await("the publisher sees the connection go", () -> !first.isOpen() && !keyed.isOpen() && !once.isOpen());
             acknowledges = true;
             sender.start();
             Stub.await("AMQP listens again", () -> consumerIsIn(port));
--- a/src/test/java/slipfield/daemon/AmqpTest.java
+++ b/src/test/java/slipfield/daemon/AmqpTest.java
@@ -18,6 +18,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -99,6 +100,14 @@
         channel.basicPublish(AmqpWorld.EXCHANGE, key, true, order(id), ("body of " + id).getBytes(StandardCharsets.UTF_8));
     }
 
+    private String view() {
+        try {
+            return Files.readString(folder.resolve("state").resolve("amqp.json"));
+        } catch (IOException notYet) {
+            return "";
+        }
+    }
+
     private String next() throws InterruptedException {
         String next = heard.poll(SOON_S, TimeUnit.SECONDS);
         return next == null ? "nothing" : next;
@@ -124,6 +133,8 @@
         assertFalse(first.envelope.isRedeliver());
         assertTrue(Long.parseLong(first.properties.getExpiration()) > 0);
         assertTrue(heard.isEmpty(), "confirmed before its end: " + heard);
+        Stub.await("what is out is in the file for people", () -> view().contains("\"unconfirmed\":2,\"consumers\":0,\"out\":0")
+                && view().contains("\"unconfirmed\":0,\"consumers\":1,\"out\":2"));
         second.channel.basicAck(second.envelope.getDeliveryTag(), false);
         assertEquals("ack 2", next());
         first.channel.basicAck(first.envelope.getDeliveryTag(), false);
@@ -245,6 +256,18 @@
         assertEquals("ack 2", next());
     }
 
+    @Test
+    void whatIsNotAcknowledgedInItsTimeMayHaveRun() throws Exception {
+        world = new AmqpWorld(folder, "", 2000).start();
+        BlockingQueue<Seen> seen = consumer(channel("broker"), "silent", 10);
+        Channel publisher = publisher();
+        publish(publisher, "once.7", "m1");
+        next(seen);
+        acknowledging("good", 50);
+        assertEquals("return 541 failed m1", next());
+        assertEquals("nack 1", next());
+    }
+
     @Test
     void anIdThatComesOverHttpAndAmqpAtOnceIsOneMessage() throws Exception {
         world = new AmqpWorld(folder).start();
--- a/src/test/java/slipfield/daemon/AmqpWorld.java
+++ b/src/test/java/slipfield/daemon/AmqpWorld.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeoutException;
 import slipfield.amqp.Secret;
+import slipfield.amqp.server.ConnectionReport;
 import slipfield.config.Config;
 import slipfield.standin.TrialWorld;
 
@@ -68,7 +69,7 @@
         return daemon.addresses().get(1);
     }
 
-    List<String> report() {
+    List<ConnectionReport> report() {
         return daemon.amqp();
     }
 
