--- a/src/main/java/slipfield/amqp/Receiver.java
+++ b/src/main/java/slipfield/amqp/Receiver.java
@@ -29,7 +29,7 @@
     /** What it is of: destination, kind and zone. */
     AmqpConfig.Queue queue();
 
-    /** 0, or higher where it wants more than its share. */
+    /** Those of the highest are in service, the others stand by. */
     int priority();
 
     /** How many deliveries it may have out at once. */
--- a/src/main/java/slipfield/amqp/client/BrokerLink.java
+++ b/src/main/java/slipfield/amqp/client/BrokerLink.java
@@ -272,7 +272,6 @@
                     inTime.cancel(false);
                     open = true;
                     redial.opened(nowMs());
-                    Log.info("amqp.broker_open", "broker", broker.name());
                     listener.opened();
                 }
                 case CHANNEL_CLOSE -> {
--- a/src/main/java/slipfield/amqp/client/Source.java
+++ b/src/main/java/slipfield/amqp/client/Source.java
@@ -14,6 +14,7 @@
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
+import slipfield.log.Log;
 
 /**
  * A queue of a broker elsewhere that is consumed: what is delivered there is handed in here, and acknowledged once it has
@@ -60,6 +61,7 @@
 
     @Override
     public void opened() {
+        Log.info("amqp.broker_open", "broker", config.broker().name());
         life = new Life(epoch + "-in/" + config.broker().name() + "." + ++lives);
         link.send(MethodId.BASIC_QOS, 0L, config.prefetch(), false);
         link.send(MethodId.BASIC_CONSUME, 0, config.queue(), config.broker().name(), false, false, false, false, Map.of());
--- a/src/main/java/slipfield/amqp/client/Target.java
+++ b/src/main/java/slipfield/amqp/client/Target.java
@@ -15,6 +15,7 @@
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.decide.Deliveries;
+import slipfield.log.Log;
 
 /**
  * A broker elsewhere that is published to, as an endpoint: an attempt is one publish, and its confirm what became of it. What
@@ -102,6 +103,7 @@
                 // Publish numbers begin anew with each channel.
                 out = new Deliveries<>(config.inFlight());
                 out.came(ONLY);
+                Log.info("amqp.broker_open", "broker", config.broker().name());
                 consuming.came(this, false);
             }
             case BASIC_ACK -> confirmed(m, true);
--- a/src/main/java/slipfield/amqp/decide/Consumers.java
+++ b/src/main/java/slipfield/amqp/decide/Consumers.java
@@ -11,6 +11,9 @@
  * Consumers of queues as endpoints of their destinations. One that leaves is out of service at once, and is remembered for a
  * while: if it comes again under its name it is the endpoint that it was, and what was learnt of it holds. So a consumer
  * that fell and returns cold gets what a returning endpoint gets, no more.
+ *
+ * <p>Of the consumers of a queue those of the highest priority are in service, the others stand by until all of these have
+ * left. It is not a share: a share is what the decision module gives.
  */
 public final class Consumers {
     /**
@@ -21,7 +24,7 @@
     public record Entry(String name, String queue, boolean serving, boolean gone) {
     }
 
-    private record Known(String queue, boolean here, boolean exclusive, double leftMs) {
+    private record Known(String queue, boolean here, boolean exclusive, int priority, boolean serving, double leftMs) {
     }
 
     private final double awayMs;
@@ -52,19 +55,37 @@
         return true;
     }
 
-    /** It came. */
-    public Entry came(String name, String queue, boolean exclusive) {
-        known.put(name, new Known(queue, true, exclusive, 0));
+    /** It came: what changes in the list by that. */
+    public List<Entry> came(String name, String queue, boolean exclusive, int priority) {
+        known.put(name, new Known(queue, true, exclusive, priority, false, 0));
         here.merge(queue, 1, Integer::sum);
-        return new Entry(name, queue, true, false);
+        return served(queue, name);
     }
 
-    /** It left: cancelled, or its channel is gone. */
-    public Entry left(String name, double now) {
+    /** It left, cancelled, or its channel is gone: what changes in the list by that. */
+    public List<Entry> left(String name, double now) {
         Known k = known.get(name);
-        known.put(name, new Known(k.queue, false, false, now));
+        known.put(name, new Known(k.queue, false, false, k.priority, false, now));
         here.merge(k.queue, -1, Integer::sum);
-        return new Entry(name, k.queue, false, false);
+        return served(k.queue, name);
+    }
+
+    /** Who is in service at a queue now; told are those that this changes, and the one that it is about. */
+    private List<Entry> served(String queue, String about) {
+        int highest = Integer.MIN_VALUE;
+        for (Known k : known.values()) {
+            highest = k.here && k.queue.equals(queue) ? Math.max(highest, k.priority) : highest;
+        }
+        List<Entry> changed = new ArrayList<>();
+        for (Map.Entry<String, Known> e : known.entrySet()) {
+            Known k = e.getValue();
+            boolean serving = k.here && k.priority == highest;
+            if (k.queue.equals(queue) && (serving != k.serving || e.getKey().equals(about))) {
+                e.setValue(new Known(queue, k.here, k.exclusive, k.priority, serving, k.leftMs));
+                changed.add(new Entry(e.getKey(), queue, serving, false));
+            }
+        }
+        return changed;
     }
 
     /** Those that have been away for too long, and are forgotten. */
--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -20,20 +20,17 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import slipfield.amqp.AmqpConfig;
 import slipfield.amqp.Consuming;
 import slipfield.amqp.Publishing;
-import slipfield.amqp.Secret;
 import slipfield.amqp.codec.FrameDecoder;
 import slipfield.amqp.codec.FrameEncoder;
 import slipfield.amqp.decide.Backpressure;
-import slipfield.amqp.decide.LoginGuard;
 import slipfield.config.Config;
-import slipfield.log.Log;
 
 /** The listener and its connections, on the core's loop. */
 public final class AmqpServer {
@@ -43,8 +40,8 @@
      */
     private static final int TAKEN_IN_TURN = 64;
     private static final long SWEEP_MS = 100;
-    private static final int CHECKS_AT_ONCE = 1;
-    private static final int CHECKS_WAITING = 64;
+    /** All connections are looked after once in so many sweeps: a thousand with ten channels each are work. */
+    private static final int SWEEP_IN = 5;
     private static final int FLUSH_AFTER = 256;
     private static final int LOW_WATER = 32 * 1024;
     private static final int HIGH_WATER = 256 * 1024;
@@ -53,14 +50,14 @@
     private final AmqpConfig config;
     private final String epoch;
     private final Backpressure pressure;
-    private final LoginGuard guard = new LoginGuard(CHECKS_AT_ONCE, CHECKS_WAITING);
-    private final Deque<Runnable> waitingLogins = new ArrayDeque<>();
+    private final Logins logins;
     private final Map<Integer, ServerConnection> connections = new LinkedHashMap<>();
     private final Deque<ServerConnection> pending = new ArrayDeque<>();
     private final List<Channel> listeners = new ArrayList<>();
-    private ExecutorService checks;
     private Publishing publishing;
     private Consuming consuming;
+    private final Deque<ServerConnection> toSweep = new ArrayDeque<>();
+    private int sweepAtOnce;
     private int lastConnection;
     private boolean taking;
     private boolean closing;
@@ -68,7 +65,17 @@
 
     /** {@code epoch}: another in each life of the sender. */
     public AmqpServer(EventLoop loop, AmqpConfig config, String epoch) {
+        this(loop, config, epoch, Executors.newSingleThreadExecutor(task -> {
+            Thread thread = new Thread(task, "amqp-logins");
+            thread.setDaemon(true);
+            return thread;
+        }));
+    }
+
+    /** Secrets are checked there. */
+    AmqpServer(EventLoop loop, AmqpConfig config, String epoch, Executor checks) {
         this.loop = loop;
+        this.logins = new Logins(loop, config.users(), checks);
         this.config = config;
         this.epoch = epoch;
         this.pressure = new Backpressure(config.limits().each(), config.limits().all());
@@ -82,11 +89,6 @@
 
     /** Begins to listen, and waits until it does. */
     public List<InetSocketAddress> listen() throws IOException {
-        checks = Executors.newSingleThreadExecutor(task -> {
-            Thread thread = new Thread(task, "amqp-logins");
-            thread.setDaemon(true);
-            return thread;
-        });
         List<InetSocketAddress> addresses = new ArrayList<>();
         if (config.listen().isPresent()) {
             addresses.add(bind(config.listen().get(), channel -> { }));
@@ -122,7 +124,8 @@
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
-    private void accept(Channel channel) {
+    /** A connection has come. */
+    void accept(Channel channel) {
         if (closing || connections.size() >= config.limits().connections()) {
             channel.close();
             return;
@@ -184,7 +187,13 @@
 
     private void sweep() {
         double now = nowMs();
-        List.copyOf(connections.values()).forEach(c -> c.sweep(now));
+        if (toSweep.isEmpty()) {
+            toSweep.addAll(connections.values());
+            sweepAtOnce = 1 + toSweep.size() / SWEEP_IN;
+        }
+        for (int i = 0; i < sweepAtOnce && !toSweep.isEmpty(); i++) {
+            toSweep.pollFirst().sweep(now);
+        }
         if (closing) {
             boolean published = connections.values().stream().anyMatch(ServerConnection::owes);
             List.copyOf(connections.values()).forEach(c -> c.closeIdle(published, now - closingSince));
@@ -201,52 +210,8 @@
         }
     }
 
-    /** Checks a login; {@code then} is told, on the loop, whether it is right: a wrong one only after a while. */
-    void login(Login login, Consumer<Boolean> then) {
-        AmqpConfig.User user = config.users().get(login.name());
-        if (login.password().isEmpty()) {
-            then.accept(user != null);
-            return;
-        }
-        switch (guard.tries(login.name())) {
-            case CHECK -> check(login, user, then);
-            case WAIT -> waitingLogins.add(() -> {
-                guard.waited(login.name());
-                check(login, user, then);
-            });
-            case TURN_AWAY -> then.accept(false);
-            default -> throw new IllegalStateException();
-        }
-    }
-
-    private void check(Login login, AmqpConfig.User user, Consumer<Boolean> then) {
-        checks.execute(() -> {
-            // An unknown name costs what a known one does: else names could be told by the time that an answer takes.
-            boolean known = user != null && user.secret().isPresent();
-            Secret secret = known ? user.secret().get() : Nobody.SECRET;
-            boolean right = secret.matches(login.password().get()) && known;
-            loop.execute(() -> checked(login, right, then));
-        });
-    }
-
-    /** Made when it is first needed, and on the thread that needs it. */
-    private static final class Nobody {
-        private static final Secret SECRET = Secret.of("");
-    }
-
-    private void checked(Login login, boolean right, Consumer<Boolean> then) {
-        if (guard.checked()) {
-            waitingLogins.pollFirst().run();
-        }
-        if (right) {
-            then.accept(true);
-            return;
-        }
-        Log.warn("amqp.login_refused", "user", login.name());
-        loop.schedule(() -> {
-            guard.answered();
-            then.accept(false);
-        }, (long) guard.wrong(login.name(), nowMs()), TimeUnit.MILLISECONDS);
+    Logins logins() {
+        return logins;
     }
 
     double nowMs() {
--- a/src/main/java/slipfield/daemon/AmqpParts.java
+++ b/src/main/java/slipfield/daemon/AmqpParts.java
@@ -31,6 +31,7 @@
     /** The file of what stands, in the state folder, written so often. */
     static final String VIEW = "amqp.json";
     private static final long VIEW_MS = 1000;
+    private static final long VIEW_MS_EACH = 10;
 
     private final AmqpConfig config;
     private AmqpServer server;
@@ -81,17 +82,21 @@
         return server.report();
     }
 
+    /** Each second, and less often where much is to be told: a thousand connections of ten channels are a megabyte. */
+    private void writeView() {
+        List<ConnectionReport> now = report();
+        long wallMs = System.currentTimeMillis();
+        view.write(() -> new View(wallMs, now));
+        loop.schedule(this::writeView, Math.max(VIEW_MS, now.size() * VIEW_MS_EACH), TimeUnit.MILLISECONDS);
+    }
+
     List<InetSocketAddress> addresses() {
         return publications.addresses();
     }
 
     Front front(Desk desk) throws IOException {
         publications.over(desk, new Brokers(loop, config, epoch, queues, publications));
-        loop.scheduleWithFixedDelay(() -> {
-            List<ConnectionReport> now = report();
-            long wallMs = System.currentTimeMillis();
-            view.write(() -> new View(wallMs, now));
-        }, VIEW_MS, VIEW_MS, TimeUnit.MILLISECONDS);
+        writeView();
         return publications;
     }
 }
--- a/src/main/java/slipfield/transport/amqp/Queues.java
+++ b/src/main/java/slipfield/transport/amqp/Queues.java
@@ -28,8 +28,6 @@
  * unseen. On the core's loop.
  */
 public final class Queues implements Transport, Directory, Consuming {
-    private static final double DEFAULT_WEIGHT = 1;
-
     private final EventLoop loop;
     /** By name, those of whoever came so far: one that left is told of once more. */
     private final Map<String, AmqpConfig.Queue> queues = new HashMap<>();
@@ -80,23 +78,24 @@
     public void came(Receiver receiver, boolean exclusive) {
         lines.put(receiver.name(), new Line(receiver));
         queues.put(receiver.queue().name(), receiver.queue());
-        tell(consumers.came(receiver.name(), receiver.queue().name(), exclusive),
-                Math.max(DEFAULT_WEIGHT, DEFAULT_WEIGHT + receiver.priority()));
+        tell(consumers.came(receiver.name(), receiver.queue().name(), exclusive, receiver.priority()));
     }
 
     @Override
     public void left(Receiver receiver) {
         Line line = lines.remove(receiver.name());
-        tell(consumers.left(receiver.name(), nowMs()), DEFAULT_WEIGHT);
+        tell(consumers.left(receiver.name(), nowMs()));
         // They were not sent, and can go elsewhere.
         List.copyOf(line.waiting).forEach(call -> call.end(Outcome.NOT_SENT));
         forgetLater();
     }
 
-    private void tell(Consumers.Entry entry, double weight) {
-        AmqpConfig.Queue queue = queues.get(entry.queue());
-        lists.listed(false, List.of(new Entry(entry.name(), new ConsumerAddress(entry.name()), queue.zone(), queue.kind(),
-                queue.destination(), entry.serving(), weight, entry.gone())));
+    private void tell(List<Consumers.Entry> changed) {
+        lists.listed(false, changed.stream().map(entry -> {
+            AmqpConfig.Queue queue = queues.get(entry.queue());
+            return new Entry(entry.name(), new ConsumerAddress(entry.name()), queue.zone(), queue.kind(), queue.destination(),
+                    entry.serving(), 0, entry.gone());
+        }).toList());
     }
 
     private void forgetLater() {
@@ -106,7 +105,10 @@
         }
         if (next.isPresent()) {
             tick = loop.schedule(() -> {
-                consumers.forgotten(nowMs()).forEach(gone -> tell(gone, DEFAULT_WEIGHT));
+                List<Consumers.Entry> gone = consumers.forgotten(nowMs());
+                if (!gone.isEmpty()) {
+                    tell(gone);
+                }
                 forgetLater();
             }, (long) Math.max(1, next.getAsDouble() - nowMs()), TimeUnit.MILLISECONDS);
         }
