Background work: a scheduler with grades and budgets, and who does it

Files for people are written as such work, in place of a thread each; bin/slipfield work shows it. Made only with AMQP or membership on. Tests of AMQP for AMQPLAIN, virtual hosts, connection.blocked and publishing without confirms.

--- /dev/null
+++ b/src/main/java/slipfield/cli/WorkCommand.java
@@ -0,0 +1,68 @@
+package slipfield.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** A sender's background work, as it last wrote it. */
+@Command(name = "work", mixinStandardHelpOptions = true, description = "Shows a sender's background work: what waits of each "
+        + "kind, what it took so far, and how late the loop was. Written once a second while there is any.",
+        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:shown", "1:a kind is stopped",
+            "2:nothing is there, or it can't be read"})
+final class WorkCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Parameters(paramLabel = "FOLDER", description = "The sender's state folder (GW_STATE).")
+    private Path folder;
+    @Option(names = "--json", description = "As it is kept.")
+    private boolean json;
+
+    @Override
+    public Integer call() {
+        Path file = folder.resolve("work.json");
+        PrintWriter out = spec.commandLine().getOut();
+        try {
+            if (!Files.exists(file)) {
+                spec.commandLine().getErr().println(file + " is not there: a sender writes it where something of it has work "
+                        + "that may wait (AMQP, membership), into its GW_STATE");
+                return 2;
+            }
+            JsonNode view = JsonMapper.builder().build().readTree(Files.readAllBytes(file));
+            boolean stopped = false;
+            if (json) {
+                out.println(view.toPrettyString());
+            } else {
+                out.printf(Locale.ROOT, "written %.1f s ago; the loop was %.1f ms late%n%n%-12s %-6s %6s %6s %8s %9s %6s %6s "
+                        + "%10s %12s %12s  %s%n", (System.currentTimeMillis() - view.path("writtenMs").asLong()) / 1000.0,
+                        view.path("latenessMs").asDouble(), "KIND", "GRADE", "DUE", "LATER", "RUNNING", "SLICES", "SHED",
+                        "THROWN", "CPU MS", "BYTES", "WAITED MS", "STOPPED");
+            }
+            for (JsonNode k : view.path("kinds")) {
+                stopped |= !k.path("stopped").asText().isEmpty();
+                if (!json) {
+                    out.printf(Locale.ROOT, "%-12s %-6s %6d %6d %8d %9d %6d %6d %10.1f %12d %12.1f  %s%n", k.path("kind").asText(),
+                            k.path("grade").asText().toLowerCase(Locale.ROOT), k.path("due").asInt(), k.path("later").asInt(),
+                            k.path("running").asInt(), k.path("slices").asLong(), k.path("shed").asLong(),
+                            k.path("thrown").asLong(), k.path("cpuMs").asDouble(), k.path("bytes").asLong(),
+                            k.path("longestWaitMs").asDouble(), k.path("stopped").asText());
+                }
+            }
+            return stopped ? 1 : 0;
+        } catch (IOException e) {
+            spec.commandLine().getErr().println(file + " can't be read: " + e.getMessage());
+            return 2;
+        } finally {
+            out.flush();
+        }
+    }
+}
--- a/src/main/java/slipfield/daemon/AmqpParts.java
+++ b/src/main/java/slipfield/daemon/AmqpParts.java
@@ -21,6 +21,7 @@
 import slipfield.front.amqp.Publications;
 import slipfield.journal.Owed;
 import slipfield.state.KeptJson;
+import slipfield.work.Worker;
 import slipfield.transport.amqp.Queues;
 
 /** What AMQP adds to a sender. No class of it is loaded unless the operator's file is named. */
@@ -59,7 +60,8 @@
         return config.limits().knownIds();
     }
 
-    Transport beside(Transport network, EventLoop loop, Transport.Ends ends) {
+    Transport beside(Transport network, EventLoop loop, Worker worker, Transport.Ends ends) {
+        view.by(worker);
         epoch = Long.toHexString(System.currentTimeMillis());
         server = new AmqpServer(loop, config, epoch);
         this.loop = loop;
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -63,6 +63,8 @@
     private Ends ends;
     /** Absent unless the operator's file of AMQP is set: no class of it is loaded without. */
     private AmqpParts amqp;
+    /** Absent unless a part has work that may wait. */
+    private Background background;
     private List<InetSocketAddress> addresses = List.of();
 
     /** As the program runs it. */
@@ -137,6 +139,7 @@
             members.leaving(LEAVING_MS);
         }
         sender.drain();
+        endBackground();
         if (members != null) {
             members.close();
         }
@@ -145,6 +148,7 @@
     /** Lets go of everything at once, as the end of the process would. */
     public void kill() {
         sender.kill();
+        endBackground();
         if (members != null) {
             members.close();
         }
@@ -181,6 +185,20 @@
         }
     }
 
+    /** Made with the first part that needs it. */
+    private Background background(EventLoop loop) {
+        if (background == null) {
+            background = new Background(loop, config.state());
+        }
+        return background;
+    }
+
+    private void endBackground() {
+        if (background != null) {
+            background.end();
+        }
+    }
+
     @Override
     public int idsKnown() {
         return amqp == null ? Parts.super.idsKnown() : amqp.idsKnown();
@@ -189,7 +207,7 @@
     @Override
     public Transport transport(EventLoop loop, Transport.Ends ends) {
         endpoints = new Endpoints(loop, config.dialMs(), config.settings().keepAliveMs(), mostIdle, ends);
-        return amqp == null ? endpoints : amqp.beside(endpoints, loop, ends);
+        return amqp == null ? endpoints : amqp.beside(endpoints, loop, background(loop).worker(), ends);
     }
 
     @Override
@@ -214,7 +232,7 @@
         if (members == null) {
             directories.put("platform", discovery);
         } else {
-            members.over(loop, discovery);
+            members.over(loop, background(loop).worker(), discovery);
             directories.put("members", members);
         }
         if (amqp != null) {
--- a/src/main/java/slipfield/directory/merged/Members.java
+++ b/src/main/java/slipfield/directory/merged/Members.java
@@ -20,6 +20,7 @@
 import slipfield.membership.Member;
 import slipfield.membership.Membership;
 import slipfield.membership.Status;
+import slipfield.work.Worker;
 
 /**
  * The merged directory. The membership module is asked on the core's loop, so that the platform's word takes no longer
@@ -65,9 +66,10 @@
         return new Members(MembersConfig.read(path), state);
     }
 
-    /** On this loop, with the platform's list where the configuration's precedence names it. */
-    public void over(EventLoop core, Directory list) {
+    /** On this loop, with this worker for what nobody waits for, with the platform's list where the configuration's precedence names it. */
+    public void over(EventLoop core, Worker worker, Directory list) {
         loop = core;
+        file.by(worker);
         if (config.precedence().contains(MembersConfig.PLATFORM)) {
             platform = Optional.of(list);
         }
--- a/src/main/java/slipfield/directory/merged/ViewFile.java
+++ b/src/main/java/slipfield/directory/merged/ViewFile.java
@@ -18,6 +18,7 @@
 import slipfield.membership.Membership;
 import slipfield.membership.Status;
 import slipfield.state.KeptJson;
+import slipfield.work.Worker;
 
 /**
  * The view on disk: what each source said last, for the next life, and the merged view, for whoever asks. One that can't
@@ -37,6 +38,11 @@
         this.file = new KeptJson(folder.resolve(Members.VIEW), "members.view_unwritable");
     }
 
+    /** It is written by this worker. */
+    void by(Worker worker) {
+        file.by(worker);
+    }
+
     /** What was kept of this source; nothing where none was, or the file is damaged. */
     Recalled recall(String source) {
         List<Instance> instances = new ArrayList<>();
--- a/src/test/java/slipfield/ArchitectureTest.java
+++ b/src/test/java/slipfield/ArchitectureTest.java
@@ -19,7 +19,7 @@
     @ArchTest
     static final ArchRule DECISIONS_ARE_PURE = noClasses()
             .that().resideInAnyPackage("slipfield.policy", "slipfield.recovery", "slipfield.admission",
-                    "slipfield.membership", "slipfield.client.decide", "slipfield.amqp.decide")
+                    "slipfield.membership", "slipfield.client.decide", "slipfield.amqp.decide", "slipfield.work.decide")
             .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..",
                     "io.netty..")
             .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
--- a/src/test/java/slipfield/cli/CliTest.java
+++ b/src/test/java/slipfield/cli/CliTest.java
@@ -162,6 +162,21 @@
         assertTrue(err.toString().contains("not an address with a port: 'nowhere'"), err.toString());
     }
 
+    @Test
+    void backgroundWorkIsShown() throws Exception {
+        assertEquals(2, run("work", folder.toString()));
+        assertTrue(err.toString().contains("GW_STATE"), err.toString());
+        String view = """
+                {"writtenMs":%d,"latenessMs":1.5,"kinds":[{"kind":"views","grade":"SOON","due":1,"later":2,"running":1,
+                 "slices":40,"shed":3,"thrown":4,"cpuMs":12.25,"bytes":5000,"longestWaitMs":7.5,"stopped":"%s"}]}""";
+        Files.writeString(folder.resolve("work.json"), view.formatted(System.currentTimeMillis(), ""));
+        assertEquals(0, run("work", folder.toString()));
+        assertTrue(out.toString().matches("(?s).*views +soon +1 +2 +1 +40 +3 +4 +12.3 +5000 +7.5.*"), out.toString());
+        Files.writeString(folder.resolve("work.json"), view.formatted(System.currentTimeMillis(), "scrub: hangs"));
+        assertEquals(1, run("work", folder.toString()));
+        assertTrue(out.toString().contains("scrub: hangs"), out.toString());
+    }
+
     @Test
     void aFileOfBeforeIsConvertedToOneThatIsRead() throws Exception {
         Path old = folder.resolve("members.conf");
--- a/src/test/java/slipfield/daemon/AmqpTest.java
+++ b/src/test/java/slipfield/daemon/AmqpTest.java
@@ -6,12 +6,17 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.rabbitmq.client.AMQP;
+import com.rabbitmq.client.AuthenticationFailureException;
 import com.rabbitmq.client.Channel;
 import com.rabbitmq.client.Connection;
 import com.rabbitmq.client.ConnectionFactory;
 import com.rabbitmq.client.DefaultConsumer;
 import com.rabbitmq.client.DefaultSaslConfig;
 import com.rabbitmq.client.Envelope;
+import com.rabbitmq.client.LongString;
+import com.rabbitmq.client.SaslMechanism;
+import com.rabbitmq.client.impl.LongStringHelper;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -377,4 +382,77 @@
         open.setSaslConfig(DefaultSaslConfig.EXTERNAL);
         assertThrows(IOException.class, open::newConnection, "no certificate, no name");
     }
+
+    @Test
+    void otherMechanismsAndHostsAreAsTheFileSays() throws Exception {
+        world = new AmqpWorld(folder, "virtual_hosts: [/, desks]\n").start();
+        ConnectionFactory factory = AmqpWorld.factory("desk", world.address().getPort());
+        factory.setVirtualHost("desks");
+        factory.setSaslConfig(mechanisms -> new SaslMechanism() {
+            @Override
+            public String getName() {
+                return "AMQPLAIN";
+            }
+
+            @Override
+            public LongString handleChallenge(LongString challenge, String username, String password) {
+                // A table without its length: name, type, length and octets of each field.
+                ByteArrayOutputStream table = new ByteArrayOutputStream();
+                field(table, "LOGIN", username);
+                field(table, "PASSWORD", password);
+                return LongStringHelper.asLongString(table.toByteArray());
+            }
+        });
+        connections.add(factory.newConnection());
+        factory.setPassword("wrong");
+        assertThrows(AuthenticationFailureException.class, factory::newConnection);
+        ConnectionFactory elsewhere = AmqpWorld.factory("desk", world.address().getPort());
+        elsewhere.setVirtualHost("nowhere");
+        IOException refused = assertThrows(IOException.class, elsewhere::newConnection);
+        assertTrue(refused.getCause().getMessage().contains("530"), refused.getCause().getMessage());
+    }
+
+    private static void field(ByteArrayOutputStream table, String name, String value) {
+        table.write(name.length());
+        table.writeBytes(name.getBytes(StandardCharsets.US_ASCII));
+        table.write('S');
+        table.writeBytes(new byte[] {0, 0, 0, (byte) value.length()});
+        table.writeBytes(value.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Who has too much unsettled hears so, and is read again when it is settled. */
+    @Test
+    void aPublisherHearsThatItIsPaused() throws Exception {
+        world = new AmqpWorld(folder, "limits: {unsettled_each: 10}\n").start();
+        BlockingQueue<Seen> seen = consumer(channel("broker"), "c", 50);
+        Channel publisher = publisher();
+        BlockingQueue<String> blocks = new LinkedBlockingQueue<>();
+        publisher.getConnection().addBlockedListener(reason -> blocks.add("blocked"), () -> blocks.add("unblocked"));
+        for (int i = 1; i <= 10; i++) {
+            publish(publisher, "order.7", "m" + i);
+        }
+        assertEquals("blocked", blocks.poll(SOON_S, TimeUnit.SECONDS));
+        for (int i = 1; i <= 10; i++) {
+            Seen one = next(seen);
+            one.channel.basicAck(one.envelope.getDeliveryTag(), false);
+        }
+        assertEquals("unblocked", blocks.poll(SOON_S, TimeUnit.SECONDS));
+        assertTrue(publisher.waitForConfirms(TimeUnit.SECONDS.toMillis(SOON_S)));
+    }
+
+    /** Where the operator allows it: delivered in silence, and what is not comes back all the same. */
+    @Test
+    void withoutConfirmsOnlyWhatIsNotDeliveredIsTold() throws Exception {
+        world = new AmqpWorld(folder, "unconfirmed: true\n").start();
+        Channel publisher = channel("desk");
+        publisher.addReturnListener(back -> heard.add(back.getReplyCode() + " " + back.getProperties().getMessageId()));
+        publish(publisher, "order.1", "m1");
+        publish(publisher, "elsewhere", "m2");
+        assertEquals("312 m2", next());
+        Stub.await("it is delivered", () -> world.world.ledger().runs("key-m1").size() == 1);
+        Stub.await("nothing of it is unsettled", () -> world.report().stream().allMatch(c -> c.unconfirmed() == 0));
+        publisher.confirmSelect();
+        publish(publisher, "order.1", "m3");
+        assertTrue(publisher.waitForConfirms(TimeUnit.SECONDS.toMillis(SOON_S)));
+    }
 }
