--- a/src/main/java/slipfield/journal/Records.java
+++ b/src/main/java/slipfield/journal/Records.java
@@ -27,14 +27,14 @@
 
     /** Goes on to the next whole record; false where there is none. */
     boolean next() {
-        for (int at = end; at + Journal.HEAD < bytes.length; at++) {
+        for (int at = end; at + Form.HEAD < bytes.length; at++) {
             boolean whole = isWhole(at, lengthAt(at));
             // Only where a record must begin: elsewhere a mend would make one out of anything.
             mended = !whole && at == end && mend(at);
             if (whole || mended) {
                 skipped = at - end;
                 length = lengthAt(at);
-                from = at + Journal.HEAD;
+                from = at + Form.HEAD;
                 end = from + length;
                 return true;
             }
@@ -71,24 +71,24 @@
     }
 
     private boolean fits(int at, int count) {
-        return count >= 1 && count <= Journal.LONGEST && count <= bytes.length - at - Journal.HEAD;
+        return count >= 1 && count <= Form.LONGEST && count <= bytes.length - at - Form.HEAD;
     }
 
     private boolean isWhole(int at, int count) {
-        return fits(at, count) && bytes[at + Journal.HEAD] > 0 && bytes[at + Journal.HEAD] <= MOST_TYPE
-                && Journal.checksum(bytes, at + Journal.HEAD, count) == checksumAt(at);
+        return fits(at, count) && bytes[at + Form.HEAD] > 0 && bytes[at + Form.HEAD] <= MOST_TYPE
+                && Form.checksum(bytes, at + Form.HEAD, count) == checksumAt(at);
     }
 
     private boolean mend(int at) {
         int told = lengthAt(at);
         if (fits(at, told)) {
-            long difference = Journal.checksum(bytes, at + Journal.HEAD, told) ^ checksumAt(at);
+            long difference = Form.checksum(bytes, at + Form.HEAD, told) ^ checksumAt(at);
             if (Long.bitCount(difference) == 1) {
                 bytes[at + 4 + Long.numberOfLeadingZeros(difference) / 8]
                         ^= (byte) (1 << Long.numberOfTrailingZeros(difference) % 8);
                 return true;
             }
-            if (difference >>> 32 == 0 && mendBody(at + Journal.HEAD, told, (int) difference)) {
+            if (difference >>> 32 == 0 && mendBody(at + Form.HEAD, told, (int) difference)) {
                 return true;
             }
         }
