AMQP: contents and return headers in one place each; a source writes once a read

Change: Contents and ReturnHeaders are used by front, server, target and source; a link tells when what came in one piece has been told; the dead method is gone; one withSender in bench. A broker's body that is too long is told its true reply codes by that.

Result: the tests of AMQP, its fuzzing and the command line pass as they were.

--- a/src/main/java/slipfield/amqp/client/BrokerLink.java
+++ b/src/main/java/slipfield/amqp/client/BrokerLink.java
@@ -11,13 +11,13 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.SslContext;
-import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.Contents;
 import slipfield.amqp.codec.AmqpError;
 import slipfield.amqp.codec.Frame;
 import slipfield.amqp.codec.FrameDecoder;
@@ -26,7 +26,6 @@
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
-import slipfield.amqp.decide.Assembly;
 import slipfield.amqp.decide.Liveness;
 import slipfield.amqp.decide.Redial;
 import slipfield.amqp.decide.Tuning;
@@ -58,6 +57,10 @@
         /** One with its content. */
         void content(Method method, Properties properties, byte[] body);
 
+        /** What came in one piece has been told; more comes in a later turn of the loop. */
+        default void turned() {
+        }
+
         /** It is down, after it was {@link #opened}. */
         void lost();
 
@@ -152,11 +155,7 @@
     private final class Life extends ChannelInboundHandlerAdapter {
         private final FrameDecoder decoder;
         private final FrameEncoder encoder;
-        private final Assembly assembly = new Assembly(mostBody);
-        private Method method;
-        private Properties properties;
-        private byte[] body;
-        private int filled;
+        private final Contents contents = new Contents(mostBody);
         private Liveness liveness = new Liveness(0, 0);
         private Future<?> beats;
         private Future<?> inTime;
@@ -195,46 +194,32 @@
 
         private void take(Frame frame) throws AmqpError {
             if (frame instanceof Frame.OfBody b) {
-                try {
-                    int octets = b.octets().readableBytes();
-                    Assembly.Step step = step(assembly.body(octets));
-                    b.octets().readBytes(body, filled, octets);
-                    filled += octets;
-                    whole(step);
-                } finally {
-                    ReferenceCountUtil.release(b.octets());
-                }
+                whole(contents.body(b));
             } else if (frame instanceof Frame.OfHeader h) {
-                Assembly.Step step = step(assembly.header(h.bodySize()));
-                properties = h.properties();
-                body = new byte[(int) h.bodySize()];
-                filled = 0;
-                whole(step);
+                whole(contents.header(h));
             } else if (frame instanceof Frame.OfMethod m && m.channel() == 0) {
                 ofConnection(m.method());
             } else if (frame instanceof Frame.OfMethod m) {
-                step(assembly.method(m.method().id().hasContent()));
-                method = m.method();
-                if (!method.id().hasContent()) {
-                    ofChannel(method);
+                contents.method(m.method());
+                if (!m.method().id().hasContent()) {
+                    ofChannel(m.method());
                 }
             }
         }
 
-        private Assembly.Step step(Assembly.Step step) throws AmqpError {
-            if (step == Assembly.Step.MORE || step == Assembly.Step.WHOLE) {
-                return step;
+        private void whole(boolean whole) {
+            if (whole) {
+                listener.content(contents.method(), contents.properties(), contents.take());
             }
-            throw new AmqpError(step == Assembly.Step.TOO_LARGE ? ReplyCode.CONTENT_TOO_LARGE : ReplyCode.UNEXPECTED_FRAME,
-                    "a content of frames that are " + step);
         }
 
-        private void whole(Assembly.Step step) {
-            if (step == Assembly.Step.WHOLE) {
-                byte[] all = body;
-                body = null;
-                listener.content(method, properties, all);
+        /** What came in one piece has been looked at. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (open) {
+                listener.turned();
             }
+            ctx.fireChannelReadComplete();
         }
 
         private void ofConnection(Method m) throws AmqpError {
--- a/src/main/java/slipfield/amqp/client/Source.java
+++ b/src/main/java/slipfield/amqp/client/Source.java
@@ -10,6 +10,7 @@
 import slipfield.amqp.Publication;
 import slipfield.amqp.Publisher;
 import slipfield.amqp.Publishing;
+import slipfield.amqp.ReturnHeaders;
 import slipfield.amqp.codec.Method;
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
@@ -86,6 +87,11 @@
         life.out++;
         publishing.published(life, new Publication(m.number("delivery-tag"), config.user(), config.exchange(),
                 m.text("routing-key"), properties, body));
+    }
+
+    /** What came together goes into the journal in one write. */
+    @Override
+    public void turned() {
         publishing.turned();
     }
 
@@ -121,9 +127,8 @@
 
         @Override
         public void giveBack(Publication p, ReplyCode code, String text, Map<String, Object> headers) {
-            if ("refused".equals(headers.get("x-slipfield-end"))) {
-                long wait = headers.get("x-slipfield-retry-after-ms") instanceof Number n ? n.longValue() : 0;
-                refused.put(p.tag(), Math.max(LEAST_WAIT_MS, wait));
+            if (ReturnHeaders.isRefused(headers)) {
+                refused.put(p.tag(), Math.max(LEAST_WAIT_MS, ReturnHeaders.waitMs(headers)));
             }
         }
 
--- a/src/main/java/slipfield/amqp/client/Target.java
+++ b/src/main/java/slipfield/amqp/client/Target.java
@@ -10,6 +10,7 @@
 import slipfield.amqp.AmqpConfig;
 import slipfield.amqp.Consuming;
 import slipfield.amqp.Receiver;
+import slipfield.amqp.ReturnHeaders;
 import slipfield.amqp.codec.Frame;
 import slipfield.amqp.codec.Method;
 import slipfield.amqp.codec.MethodId;
@@ -49,11 +50,6 @@
         link.dial();
     }
 
-    /** Closes its connection for good. */
-    public void end() {
-        link.end();
-    }
-
     // ---- the endpoint ----
 
     @Override
@@ -120,10 +116,9 @@
     @Override
     public void content(Method m, Properties properties, byte[] body) {
         if (m.id() == MethodId.BASIC_RETURN) {
-            String end = String.valueOf(properties.headers().get("x-slipfield-end"));
-            long wait = properties.headers().get("x-slipfield-retry-after-ms") instanceof Number n ? n.longValue() : 0;
-            returned.put(properties.text(Properties.Property.MESSAGE_ID), new Returned(end.equals("failed") ? How.REJECTED
-                    : How.REQUEUED, wait));
+            Map<String, Object> headers = properties.headers();
+            returned.put(properties.text(Properties.Property.MESSAGE_ID), new Returned(ReturnHeaders.isFailed(headers)
+                    ? How.REJECTED : How.REQUEUED, ReturnHeaders.waitMs(headers)));
         }
     }
 
--- a/src/main/java/slipfield/amqp/decide/Backpressure.java
+++ b/src/main/java/slipfield/amqp/decide/Backpressure.java
@@ -90,7 +90,7 @@
     /** A body that had begun is whole, or will never be. */
     public void whole(int connection, long bodyOctets) {
         begunOctets -= bodyOctets;
-        begun.merge(connection, -bodyOctets, (a, b) -> a + b == 0 ? null : a + b);
+        begun.computeIfPresent(connection, (c, mine) -> mine == bodyOctets ? null : mine - bodyOctets);
     }
 
     /** A connection is gone with all that it had. */
--- a/src/main/java/slipfield/amqp/server/ServerChannel.java
+++ b/src/main/java/slipfield/amqp/server/ServerChannel.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import slipfield.amqp.AmqpConfig;
+import slipfield.amqp.Contents;
 import slipfield.amqp.Publication;
 import slipfield.amqp.Publisher;
 import slipfield.amqp.Receiver;
@@ -20,7 +21,6 @@
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
-import slipfield.amqp.decide.Assembly;
 import slipfield.amqp.decide.Confirms;
 import slipfield.amqp.decide.Deliveries;
 
@@ -31,14 +31,13 @@
     private final Deliveries<Receiver.Delivered> deliveries;
     private final Map<String, Subscription> subscriptions = new HashMap<>();
     private final Confirms confirms = new Confirms();
-    private final Assembly assembly;
+    private final Contents contents;
     private final AmqpConfig config;
     /** Published and without an end, outside confirm mode too. */
     private final Set<Publication> open = Collections.newSetFromMap(new IdentityHashMap<>());
     private Method publish;
-    private Properties properties;
-    private byte[] body;
-    private int filled;
+    /** Of a body that has begun to come and is not whole. */
+    private long begunOctets;
     private boolean confirming;
     private boolean closing;
     private int ownTags;
@@ -48,7 +47,7 @@
         this.number = number;
         this.config = connection.server().config();
         this.deliveries = new Deliveries<>(config.limits().prefetch());
-        this.assembly = new Assembly(config.limits().bodyOctets());
+        this.contents = new Contents(config.limits().bodyOctets());
     }
 
     int number() {
@@ -86,28 +85,18 @@
             // What was on its way before the peer has heard of the close: specification, channel.close.
             closing(frame);
         } else if (frame instanceof Frame.OfMethod m) {
-            step(assembly.method(m.method().id().hasContent()), m.method().id());
+            contents.method(m.method());
             method(m.method());
         } else if (frame instanceof Frame.OfHeader h) {
-            Assembly.Step step = step(assembly.header(h.bodySize()), MethodId.BASIC_PUBLISH);
+            boolean whole = contents.header(h);
             if (!connection.server().pressure().begins(connection.id(), h.bodySize())) {
                 throw new AmqpError(ReplyCode.RESOURCE_ERROR, "too many bodies are begun at once; send each whole",
                         MethodId.BASIC_PUBLISH);
             }
-            properties = h.properties();
-            body = new byte[(int) h.bodySize()];
-            filled = 0;
-            whole(step);
+            begunOctets = h.bodySize();
+            whole(whole);
         } else if (frame instanceof Frame.OfBody b) {
-            try {
-                int octets = b.octets().readableBytes();
-                Assembly.Step step = step(assembly.body(octets), MethodId.BASIC_PUBLISH);
-                b.octets().readBytes(body, filled, octets);
-                filled += octets;
-                whole(step);
-            } finally {
-                b.octets().release();
-            }
+            whole(contents.body(b));
         }
     }
 
@@ -121,32 +110,23 @@
         }
     }
 
-    private Assembly.Step step(Assembly.Step step, MethodId of) throws AmqpError {
-        switch (step) {
-            case UNEXPECTED -> throw new AmqpError(ReplyCode.UNEXPECTED_FRAME, assembly.awaits()
-                    .map(what -> what + " had to come").orElse("content without its method"), of);
-            case OVERRUN -> throw new AmqpError(ReplyCode.FRAME_ERROR, "a body of more octets than its header told", of);
-            case TOO_LARGE -> throw new AmqpError(ReplyCode.CONTENT_TOO_LARGE, "a body over "
-                    + config.limits().bodyOctets() + " octets; the operator's file may allow more (body_octets)", of);
-            default -> {
-                return step;
-            }
-        }
-    }
-
-    private void whole(Assembly.Step step) {
-        if (step != Assembly.Step.WHOLE) {
+    private void whole(boolean whole) {
+        if (!whole) {
             return;
         }
+        bodyEnded();
         Publication publication = new Publication(confirming ? confirms.published() : 0, user(),
-                publish.text("exchange"), publish.text("routing-key"), properties, body);
-        connection.server().pressure().whole(connection.id(), body.length);
-        body = null;
+                publish.text("exchange"), publish.text("routing-key"), contents.properties(), contents.take());
         open.add(publication);
         load(1, publication);
         connection.server().publishing().published(this, publication);
     }
 
+    private void bodyEnded() {
+        connection.server().pressure().whole(connection.id(), begunOctets);
+        begunOctets = 0;
+    }
+
     private void load(int sign, Publication publication) {
         connection.server().pressure().changed(connection.id(), sign, sign * (long) publication.body().length);
         connection.updateReading();
@@ -397,10 +377,7 @@
             return;
         }
         closing = true;
-        if (body != null) {
-            connection.server().pressure().whole(connection.id(), body.length);
-            body = null;
-        }
+        bodyEnded();
         List.copyOf(subscriptions.keySet()).forEach(this::cancel);
         // After its consumers: what is decided next must not go to one of them.
         new ArrayList<>(deliveries.settle(0, true).orElseThrow()).forEach(one -> one.what().settled(Receiver.How.LOST, 0));
--- a/src/main/java/slipfield/amqp/server/ServerConnection.java
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -324,10 +324,8 @@
 
     /** Reads no further while something of it waits, while it has too much unsettled, or reads nothing itself. */
     void updateReading() {
-        boolean read = inbox.isEmpty() && server.pressure().reads(id);
-        boolean writable = channel.isWritable();
-        channel.config().setAutoRead(read && writable || state == State.CLOSING);
         boolean block = !server.pressure().reads(id);
+        channel.config().setAutoRead(inbox.isEmpty() && !block && channel.isWritable() || state == State.CLOSING);
         if (blockable && state == State.IN_SERVICE && block != blocked) {
             blocked = block;
             if (block) {
--- a/src/main/java/slipfield/cli/BenchCommand.java
+++ b/src/main/java/slipfield/cli/BenchCommand.java
@@ -67,13 +67,7 @@
     public Integer call() throws Exception {
         if (amqp && resting > 0) {
             AmqpBench bench = new AmqpBench(spec.commandLine().getOut(), desks, warmUp, seconds);
-            return (int) in((folder, world) -> {
-                bench.prepare(folder);
-                try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
-                    sender.start();
-                    return bench.rest(resting, sender) < resting ? 1 : 0;
-                }
-            });
+            return (int) withSender(bench::prepare, (world, sender) -> bench.rest(resting, sender) < resting ? 1 : 0);
         }
         if (amqp) {
             AmqpBench bench = new AmqpBench(spec.commandLine().getOut(), desks, warmUp, seconds);
@@ -82,23 +76,14 @@
             bench.out().print("HTTP to HTTP:              ");
             sender();
             for (AmqpBench.To to : AmqpBench.To.values()) {
-                in((folder, world) -> {
-                    bench.prepare(folder);
-                    try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
-                        sender.start();
-                        return bench.run(to, sender);
-                    }
-                });
+                withSender(bench::prepare, (world, sender) -> bench.run(to, sender));
             }
             return 0;
         }
         if (library) {
-            return (int) in((folder, world) -> {
-                try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
-                    sender.start();
-                    new LibraryBench().run(spec.commandLine().getOut(), world.sender(), desks, warmUp, seconds);
-                    return 0;
-                }
+            return (int) withSender(folder -> { }, (world, sender) -> {
+                new LibraryBench().run(spec.commandLine().getOut(), world.sender(), desks, warmUp, seconds);
+                return 0;
             });
         }
         if (!baseline) {
@@ -119,10 +104,25 @@
     }
 
     private double sender() throws Exception {
+        return withSender(folder -> { }, (world, sender) -> run(world, sender::cpuMicros));
+    }
+
+    /** What comes before a sender's start, in its folder. */
+    private interface Prepared {
+        void in(Path folder) throws Exception;
+    }
+
+    /** What is measured of a sender that runs. */
+    private interface OfSender {
+        double of(TrialWorld world, SenderProcess sender) throws Exception;
+    }
+
+    private double withSender(Prepared before, OfSender measured) throws Exception {
         return in((folder, world) -> {
+            before.in(folder);
             try (SenderProcess sender = new SenderProcess(folder, SenderProcess.pinned(cpu), jvm())) {
                 sender.start();
-                return run(world, sender::cpuMicros);
+                return measured.of(world, sender);
             }
         });
     }
--- a/src/main/java/slipfield/front/amqp/Publications.java
+++ b/src/main/java/slipfield/front/amqp/Publications.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +17,7 @@
 import slipfield.amqp.Publication;
 import slipfield.amqp.Publisher;
 import slipfield.amqp.Publishing;
+import slipfield.amqp.ReturnHeaders;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
 import slipfield.core.Desk;
@@ -36,10 +36,6 @@
 public final class Publications implements Front, Outcome, Publishing {
     /** The outcome's name in claims. */
     public static final String NAME = "amqp";
-    /** Of a message that was given back: {@code refused} (harmless to publish again) or {@code failed} (no promise). */
-    public static final String END = "x-slipfield-end";
-    /** Of a refused one: milliseconds to wait before it is published again; absent: none are told. */
-    public static final String RETRY_AFTER = "x-slipfield-retry-after-ms";
 
     private final AmqpServer server;
     private final Routes routes;
@@ -211,16 +207,12 @@
     }
 
     private void refused(Publisher to, Publication p, ReplyCode code, String text, long waitMs) {
-        Map<String, Object> headers = new LinkedHashMap<>(Map.of(END, "refused"));
-        if (waitMs > 0) {
-            headers.put(RETRY_AFTER, waitMs);
-        }
-        to.giveBack(p, code, text, headers);
+        to.giveBack(p, code, text, ReturnHeaders.refused(waitMs));
         end(to, p, false);
     }
 
     private void failed(Publisher to, Publication p, String text) {
-        to.giveBack(p, ReplyCode.INTERNAL_ERROR, text, Map.of(END, "failed"));
+        to.giveBack(p, ReplyCode.INTERNAL_ERROR, text, ReturnHeaders.failed());
         end(to, p, false);
     }
 
--- a/src/test/java/slipfield/front/amqp/PublicationsTest.java
+++ b/src/test/java/slipfield/front/amqp/PublicationsTest.java
@@ -12,6 +12,7 @@
 import slipfield.amqp.AmqpConfig;
 import slipfield.amqp.Publication;
 import slipfield.amqp.Publisher;
+import slipfield.amqp.ReturnHeaders;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
 import slipfield.amqp.decide.Routes;
@@ -47,8 +48,8 @@
 
         @Override
         public void giveBack(Publication p, ReplyCode code, String text, Map<String, Object> headers) {
-            told.add(peer + p.tag() + " " + code.number() + " " + headers.get(Publications.END)
-                    + (headers.containsKey(Publications.RETRY_AFTER) ? " " + headers.get(Publications.RETRY_AFTER) : ""));
+            told.add(peer + p.tag() + " " + code.number() + " " + headers.get(ReturnHeaders.END)
+                    + (headers.containsKey(ReturnHeaders.RETRY_AFTER) ? " " + headers.get(ReturnHeaders.RETRY_AFTER) : ""));
         }
 
         @Override
