Test: a cut list that can still be read is not taken, seen to fail without its check

The test of a cut answer passed with Agent's check of the answer taken out, since what it cut could not be read as JSON anyway. It now also cuts an answer whose part reads as a whole, empty list: once where a length ends it, and once where its chunks go wrong, which is the one case in which the decoder hands on what it has. Without the check the empty list replaces what was known (expected s-1, was s-2); with it all is as it was.

--- a/src/test/java/slipfield/directory/DiscoveryTest.java
+++ b/src/test/java/slipfield/directory/DiscoveryTest.java
@@ -124,6 +124,17 @@
                 }
                 case 3 -> Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"instances\":");
                 case 4 -> Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{\"generation\":\"x\"}");
+                case 5 -> {
+                    // What came can be read as a list, and an empty one at that: only the framing tells that it is not whole.
+                    String part = "{\"generation\":6,\"reset\":true,\"instances\":[]}";
+                    Stub.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + Integer.toHexString(part.length()) + "\r\n" + part + "\r\nno length\r\n\r\n");
+                }
+                case 6 -> {
+                    String part = "{\"generation\":6,\"reset\":true,\"instances\":[]}";
+                    Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + part);
+                    socket.close();
+                }
                 default -> {
                     list(socket, 7, false, entry("s-2", "SERVING", "1.0"));
                 }
@@ -132,7 +143,7 @@
         Stub.await("the list after them", () -> told.size() >= 2);
         assertEquals("s-1", told.get(0).id());
         assertEquals(1, wholes.get());
-        for (int i = 1; i < 5; i++) {
+        for (int i = 1; i < 7; i++) {
             assertTrue(stub.requests.get(i).line().contains("after=5&"), stub.requests.get(i).line());
         }
     }
