--- a/src/test/java/slipfield/policy/FleetBench.java
+++ b/src/test/java/slipfield/policy/FleetBench.java
@@ -5,14 +5,12 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.Set;
 import slipfield.policy.Relay.Outcome;
 
 /**
@@ -57,8 +55,6 @@
         double coldSince = Double.NEGATIVE_INFINITY;
         final List<Call> calls = new ArrayList<>();
         long refusedConnects;
-        /** Senders that have met the outage. */
-        final Set<Integer> warned = new HashSet<>();
         private double used;
         private double usedAt;
         private double windowEnds;
@@ -183,7 +179,6 @@
             at(now + CONNECT_MS, () -> {
                 if (d.down) {
                     d.refusedConnects++;
-                    d.warned.add(number);
                     end(message, attempt, Outcome.UNREACHABLE, sent, Relay.Told.NOTHING);
                     return;
                 }
--- a/src/test/java/slipfield/policy/FleetTest.java
+++ b/src/test/java/slipfield/policy/FleetTest.java
@@ -132,40 +132,26 @@
     void aColdReturnIsNotPushedOverByAllTogether(Counts counts) {
         for (long seed = 1; seed <= 3 * SEEDS; seed++) {
             FleetBench fleet = new FleetBench(seed);
-            Destination d = fleet.destination(counts, 60);
-            fleet.senders(14, 14).offer(d, 45, 0, 34_000);
-            notPushedOver(fleet, d, seed);
+            Destination d = outage(fleet, counts);
+            for (double at = 15_000; at < 27_000; at += 250) {
+                double capacity = 60 * (0.2 + 0.8 * (at - 15_000) / 12_000);
+                long sent = d.calls(at, at + 1500);
+                assertTrue(sent <= 2 * capacity * 1.5 + 3, sent + " calls from " + at + ", seed " + seed);
+            }
         }
         atLeast(0.85, fleet -> outage(fleet, counts).delivered(28_000, 34_000) / (6 * 45.0));
     }
 
-    private static void notPushedOver(FleetBench fleet, Destination d, long seed) {
-        downAndBack(fleet, d);
-        for (double at = 15_000; at < 27_000; at += 250) {
-            double capacity = 60 * (0.2 + 0.8 * (at - 15_000) / 12_000);
-            double from = at;
-            long sent = d.calls(at, at + 1500);
-            long warned = d.calls.stream().filter(c -> c.at() >= from && c.at() < from + 1500 && d.warned.contains(c.sender()))
-                    .count();
-            assertTrue(sent <= 2 * capacity * 1.5 + 3 || warned < sent * 2 / 3.0,
-                    sent + " calls from " + at + ", " + warned + " of warned senders, seed " + seed);
-        }
-    }
-
     private static Destination outage(FleetBench fleet, Counts counts) {
         Destination d = fleet.destination(counts, 60);
         fleet.senders(14, 14).offer(d, 45, 0, 34_000);
-        downAndBack(fleet, d);
-        return d;
-    }
-
-    private static void downAndBack(FleetBench fleet, Destination d) {
         fleet.at(10_000, () -> d.down = true);
         fleet.at(15_000, () -> {
             d.down = false;
             d.coldSince = 15_000;
         });
         fleet.until(34_000);
+        return d;
     }
 
     /** Thin traffic: one message every ten seconds from each sender, with an outage of a minute in between. */
