A wait told while a call is being connected holds for that call too

The gate that looks at waits is passed when a call is decided; a call that finds no kept connection is written when its connection is up, and there only drains, moves and the repeat's window were looked at again (Endpoints.Call.connected).

Change: before its first byte such an attempt is asked for once more (Relay.mayBegin, by Transport.Ends): it does not begin where its destination has told a wait or its message is over. It ends as not sent, so it has surely not run, and its connection is kept for the next call.

Test on sockets, the crossing forced: Stub.late lets connections come up only once the wait is read.

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -144,7 +144,7 @@
         journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), life.mark(),
                 FileChannel::open);
         ended = new EndedIds(parts.idsKnown());
-        transport = parts.transport(loop, this::attemptEnded);
+        transport = parts.transport(loop, new Attempts());
         transport.start();
         outcomes = parts.outcomes(loop, this::heard);
         fronts = parts.fronts(loop, new Clients());
@@ -485,11 +485,19 @@
 
     // ---- what the module is told ----
 
-    private void attemptEnded(Transport.Attempt call, Relay.Outcome outcome, boolean gone, double waitMs,
-            Relay.Told told) {
-        calls.remove(out(call.held().number, call.number()));
-        double took = (System.nanoTime() - call.startedNanos()) / 1e6;
-        attemptEnded(call.held(), call.number(), outcome, gone, waitMs, told, took);
+    /** The transport's side. */
+    private final class Attempts implements Transport.Ends {
+        @Override
+        public boolean mayBegin(Transport.Attempt call) {
+            return relay.mayBegin(now(), call.held().number, call.number());
+        }
+
+        @Override
+        public void ended(Transport.Attempt call, Relay.Outcome outcome, boolean gone, double waitMs, Relay.Told told) {
+            calls.remove(out(call.held().number, call.number()));
+            double took = (System.nanoTime() - call.startedNanos()) / 1e6;
+            attemptEnded(call.held(), call.number(), outcome, gone, waitMs, told, took);
+        }
     }
 
     private void attemptEnded(Held held, int attempt, Relay.Outcome outcome, boolean gone, double waitMs,
--- a/src/main/java/slipfield/core/Transport.java
+++ b/src/main/java/slipfield/core/Transport.java
@@ -24,8 +24,16 @@
         void cancel();
     }
 
-    /** Told of the end of each attempt, once. */
+    /** Told of the end of each attempt, once; asked before its first byte where that had to wait. */
     interface Ends {
+        /**
+         * Whether an attempt that was decided a while ago may still begin, its connection having come up only now. False: not
+         * one byte of it is written, and it ends as {@link Relay.Outcome#NOT_SENT}. Without anybody to decide it may.
+         */
+        default boolean mayBegin(Attempt attempt) {
+            return true;
+        }
+
         /**
          * An attempt ended.
          *
--- a/src/main/java/slipfield/policy/Logic.java
+++ b/src/main/java/slipfield/policy/Logic.java
@@ -302,6 +302,12 @@
         }
     }
 
+    @Override
+    public boolean mayBegin(double now, long message, int attempt) {
+        Delivery d = deliveries.get(message);
+        return !d.ended && d.attempts.get(attempt).target.get().limit.waitUntil <= now;
+    }
+
     @Override
     public void withdrawn(double now, long message) {
         tick(now);
@@ -383,12 +389,8 @@
 
     /** Whether nothing but a slot keeps it from being sent. */
     private boolean lacksSlot(Delivery d) {
-        for (Target t : d.destination.targets) {
-            if (d.out == 0 && t.isOpen() && !t.hasSlot() && allows(d, t)) {
-                return true;
-            }
-        }
-        return false;
+        return d.out == 0 && d.destination.targets.stream()
+                .anyMatch(t -> t.isOpen() && !t.hasSlot() && allows(d, t));
     }
 
     /**
@@ -578,15 +580,9 @@
 
     /** When the next gate opens by time alone for a message that waits. */
     private double nextOpening() {
-        double next = Double.POSITIVE_INFINITY;
-        for (Destination destination : destinations.values()) {
-            for (Target t : destination.targets) {
-                if (destination.seenTurn == turn && t.serving && t.gatesOpenAt() > clock) {
-                    next = Math.min(next, t.gatesOpenAt());
-                }
-            }
-        }
-        return next;
+        return targets.values().stream().filter(t -> t.destination.seenTurn == turn && t.serving)
+                .mapToDouble(Target::gatesOpenAt).filter(at -> at > clock).min()
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     // ---- parts ----
@@ -744,12 +740,8 @@
 
         /** Whether the pace, waits and health of any of its endpoints let a call pass. */
         boolean isOpen() {
-            for (Target t : targets) {
-                if (t.serving && (t.mayJoin() || t.limit.waitUntil <= clock && t.isOpen())) {
-                    return true;
-                }
-            }
-            return false;
+            return targets.stream()
+                    .anyMatch(t -> t.serving && (t.mayJoin() || t.limit.waitUntil <= clock && t.isOpen()));
         }
 
         /** Whether a slot is free for a call to any of its endpoints. */
--- a/src/main/java/slipfield/policy/Relay.java
+++ b/src/main/java/slipfield/policy/Relay.java
@@ -62,6 +62,13 @@
      */
     void closing(double now, double end);
 
+    /**
+     * Whether an attempt that is out, and not one byte of it yet, may still begin: its connection took its time, and its
+     * destination may have told a wait meanwhile, or its message be over. False: it ends as {@link Outcome#NOT_SENT}.
+     * Changes nothing, and takes no turn.
+     */
+    boolean mayBegin(double now, long message, int attempt);
+
     /**
      * An attempt has ended; each {@link Actions#send} gets exactly one. A delivered end finishes the message
      * without a further answer from the module.
--- a/src/main/java/slipfield/standin/Stub.java
+++ b/src/main/java/slipfield/standin/Stub.java
@@ -8,7 +8,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -35,10 +37,15 @@
         void come(Message request, Socket socket) throws Exception;
     }
 
+    /** A connection on the loopback that is not up after so long waits for room in a queue, in ms. */
+    private static final int FULL_AFTER_MS = 300;
+
     /** What has come, in order. */
     public final List<Message> requests = new CopyOnWriteArrayList<>();
     private final ServerSocket server;
     private final Thread accepting;
+    /** Connections of its own that keep others from coming up. */
+    private final List<Socket> before = new ArrayList<>();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile Script script;
     private int connections;
@@ -46,9 +53,39 @@
 
     /** Listens on a free port, and does this with each request. */
     public Stub(Script script) throws IOException {
+        this(script, 50);
+        accepting.start();
+    }
+
+    private Stub(Script script, int backlog) throws IOException {
         this.script = script;
-        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        accepting = daemon(this::accept);
+        this.server = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
+        accepting = new Thread(this::accept);
+        accepting.setDaemon(true);
+    }
+
+    /**
+     * One at which connections come up only from {@link #open} on, though nobody is refused: the system's queue of those
+     * that wait to be accepted is full until then, and it asks again after a second and more.
+     */
+    public static Stub late(Script script) throws IOException {
+        Stub late = new Stub(script, 1);
+        for (boolean up = true; up;) {
+            Socket filler = new Socket();
+            try {
+                filler.connect(late.address(), FULL_AFTER_MS);
+                late.before.add(filler);
+            } catch (SocketTimeoutException full) {
+                filler.close();
+                up = false;
+            }
+        }
+        return late;
+    }
+
+    /** A late one accepts from now on. */
+    public void open() {
+        accepting.start();
     }
 
     /** From now on this is done. */
@@ -182,5 +219,8 @@
         for (Socket socket : sockets) {
             socket.close();
         }
+        for (Socket socket : before) {
+            socket.close();
+        }
     }
 }
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -307,7 +307,13 @@
                 Connection fresh = f.channel().pipeline().get(Connection.class);
                 fresh.peer = peer;
                 fresh.address = dialled;
-                write(fresh);
+                if (ends.mayBegin(this)) {
+                    write(fresh);
+                } else {
+                    // A wait was told meanwhile. The connection is as good as any for the call after it.
+                    end(Outcome.NOT_SENT);
+                    fresh.rested();
+                }
             }
         }
 
--- a/src/test/java/slipfield/daemon/SenderTest.java
+++ b/src/test/java/slipfield/daemon/SenderTest.java
@@ -54,6 +54,7 @@
     private volatile boolean agentUp = true;
     private volatile int reportStatus = 204;
     private boolean known = true;
+    private int dialMs = 1000;
     private Daemon sender;
     private InetSocketAddress address;
 
@@ -128,9 +129,9 @@
                  "settings":{"classes":[%s],"tenants":[{"name":"acme"}],"flavors":["m"],"zones":["a"],
                   "family_info":{"workers":10,"batch_by_kind":[1],"separate_routes":[false]},
                   "fleet_size":1,"limits":{"most_tries":12,"second_copies":false,"cancel":true,"max_open":%d,
-                   "dial_timeout_ms":1000,"keepalive_ms":15000},
+                   "dial_timeout_ms":%d,"keepalive_ms":15000},
                   "rules":{"start_capacity":0.2,"warm_after_ms":12000,"fall_multiple":2,"fall_ms":1500}}}
-                """.formatted(agent.hostPort(), known ? list() : "null", classes, MAX_OPEN));
+                """.formatted(agent.hostPort(), known ? list() : "null", classes, MAX_OPEN, dialMs));
         return Config.read(environment());
     }
 
@@ -370,6 +371,36 @@
         }
     }
 
+    /**
+     * Found on a day of late connections: a call came 0.65 s before the end of a wait, told by its destination's other endpoint
+     * while it was connected. Its decision lay before the wait, its first byte in it.
+     */
+    @Test
+    void aWaitThatIsToldWhileACallIsConnectedHoldsForIt() throws Exception {
+        Stub late = Stub.late(Stub.status(200, ""));
+        endpoints.set(1, late).close();
+        endpoints.get(0).script(Stub.silent());
+        dialMs = 20_000;
+        start();
+        handIn("one", "order");
+        Stub.await("the first call", () -> endpoints.get(0).requests.size() == 1);
+        handIn("two", "once");
+        Stub.await("the second call is on its way to the other endpoint", () -> journalled().stream()
+                .anyMatch(h -> h.id.equals("two") && h.attempts.stream().anyMatch(a -> a.endpoint.equals("s-1"))));
+        endpoints.get(0).script(Stub.status(200, ""));
+        long told = System.nanoTime();
+        endpoints.get(0).answerAll("HTTP/1.1 429 x\r\nRetry-After: 4\r\nContent-Length: 0\r\n\r\n");
+        Stub.await("the wait is read", () -> journalled().stream().anyMatch(h -> h.id.equals("one") && h.attempts.get(0).neverRan));
+        late.open();
+        awaitNothingHeld();
+        assertEquals(List.of(), notices, "what was not written may go again");
+        assertEquals(3, calls().size());
+        for (Stub.Message call : calls().subList(1, 3)) {
+            assertTrue(call.atNanos() - told >= 4_000_000_000L, call.line() + " of " + call.header("X-Call-Id")
+                    + " came " + (call.atNanos() - told) / 1_000_000 + " ms into a wait of 4000 ms");
+        }
+    }
+
     @Test
     void nothingNewGoesToADrainingEndpoint() throws Exception {
         start();
