--- a/src/main/java/slipfield/core/Recovery.java
+++ b/src/main/java/slipfield/core/Recovery.java
@@ -96,12 +96,16 @@
         List<Plan.Item> items = new ArrayList<>();
         for (Held held : taken) {
             if (left.containsKey(held.number)) {
-                items.add(new Plan.Item(held.number, held.deadlineMs - now, held.over, inOrder.test(held)));
+                items.add(new Plan.Item(held.number, leftMs(held, now), held.over, inOrder.test(held)));
             }
         }
         plan = new Plan(items);
     }
 
+    private static long leftMs(Held held, long now) {
+        return Plan.leftMs(held.deadlineMs - now, held.reserveMs, held.attempts.isEmpty());
+    }
+
     private void step() {
         waiting = false;
         if (plan.endsLeft()) {
@@ -142,7 +146,7 @@
                 steps.tell(held);
             } else {
                 resumed += slice.step() == Plan.Step.RESUME ? 1 : 0;
-                steps.resume(held, held.deadlineMs - now);
+                steps.resume(held, leftMs(held, now));
             }
         }
         again(0);
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -694,7 +694,8 @@
             double mostMs = config.settings().classes().get(config.classes().indexOf(s.messageClass()))
                     .deadlineMs();
             long leftMs = (long) Math.min(s.budgetMs(), mostMs);
-            leftMs -= admission.isLate(now()) ? UNREAD_LATE_MS : Math.min(UNREAD_MS, leftMs / 2);
+            long reserveMs = admission.isLate(now()) ? UNREAD_LATE_MS : Math.min(UNREAD_MS, leftMs / 2);
+            leftMs -= reserveMs;
             Admission.Verdict verdict = admission.admit(now(), s.destination(), leftMs, open.size());
             if (FLOWS) {
                 Flow.step("asked", s.id(), s.destination(), verdict.taken(), open.size(), leftMs,
@@ -705,6 +706,7 @@
             }
             Held held = new Held(journal.nextNumber(), s.id(), s.messageClass(), s.tenant(), s.key(),
                     s.destination(), life.wallMs() + leftMs, s.body(), s.claims().get(0));
+            held.reserveMs = (int) reserveMs;
             held.claims.addAll(s.claims().subList(1, s.claims().size()));
             // Its end writes what is collected, whatever becomes of this message.
             openTurn();
--- a/src/main/java/slipfield/journal/Form.java
+++ b/src/main/java/slipfield/journal/Form.java
@@ -78,6 +78,8 @@
             out.writeLong(held.deadlineMs);
             out.writeInt(held.body.length);
             out.write(held.body);
+            // Earlier forms end here, and their readers look no further.
+            out.writeInt(held.reserveMs);
         });
     }
 
--- a/src/main/java/slipfield/journal/Held.java
+++ b/src/main/java/slipfield/journal/Held.java
@@ -26,6 +26,8 @@
     public final long takenMs = System.currentTimeMillis();
     /** When it was ended by a notice, by the wall clock; 0: not in this life. Like {@link #takenMs} for the trace. */
     public long endedMs;
+    /** So much sooner than its client's time is up, in ms, {@link #deadlineMs} is; 0 where an earlier form did not tell. */
+    public int reserveMs;
     /** Bytes of its records in the journal. */
     long bytes;
     /** Its client has heard that it was taken; what comes back from the journal counts as heard. */
--- a/src/main/java/slipfield/journal/Replay.java
+++ b/src/main/java/slipfield/journal/Replay.java
@@ -118,6 +118,7 @@
             String key = in.readUTF();
             Held held = new Held(number, id, messageClass, tenant, keyed ? Optional.of(key) : Optional.empty(),
                     in.readLong(), in.readLong() + shift, in.readNBytes(in.readInt()));
+            held.reserveMs = in.available() >= Integer.BYTES ? in.readInt() : 0;
             kept.live.put(number, held);
             kept.count(held, length);
             return;
--- a/src/main/java/slipfield/recovery/Plan.java
+++ b/src/main/java/slipfield/recovery/Plan.java
@@ -51,6 +51,19 @@
 
     private final Deque<Slice> slices = new ArrayDeque<>();
 
+    /**
+     * What a held message has left, in ms. A message is ended a reserve before its time is up, lest its end be told too late;
+     * right after a restart no end is overdue yet (by the protocol, for 1.5 s). So what was never tried is given the reserve to
+     * be tried in: it is given up with no call only where its client's own time is over.
+     *
+     * @param endsInMs until it would be ended in service, negative where that has passed
+     * @param reserveMs what its client's time has beyond that, under 1 s
+     * @param untried no attempt at it was made
+     */
+    public static long leftMs(long endsInMs, long reserveMs, boolean untried) {
+        return untried ? Math.max(endsInMs, Math.min(endsInMs + reserveMs, reserveMs)) : endsInMs;
+    }
+
     /** Plans these messages, which come in the order taken. */
     public Plan(Collection<Item> held) {
         List<Item> tell = new ArrayList<>();
--- a/src/test/java/slipfield/daemon/SenderTest.java
+++ b/src/test/java/slipfield/daemon/SenderTest.java
@@ -574,6 +574,29 @@
         assertTrue(calls().isEmpty());
     }
 
+    /** The users' term: it is given up with no call only where its client's own time is over, not the sender's reserve of it. */
+    @Test
+    void whatWasNeverTriedIsTriedInItsReserve() throws Exception {
+        try (Journal journal = earlier(LifeClock.system().mark())) {
+            long wall = System.currentTimeMillis();
+            for (int reserveMs : new int[] {600_000, 0}) {
+                Held held = order(journal, "order", wall - 1000);
+                held.reserveMs = reserveMs;
+                journal.taken(held);
+            }
+            Held tried = order(journal, "order", wall - 1000);
+            tried.reserveMs = 600_000;
+            journal.taken(tried);
+            journal.attempt(tried, new Held.Attempt("s-0", wall - 5000));
+        }
+        start();
+        awaitNothingHeld();
+        assertEquals(List.of("old-0"), calls().stream().map(c -> c.header("X-Call-Id")).toList());
+        assertEquals(0, noticesOf("old-0"));
+        assertEquals(1, noticesOf("old-1"));
+        assertEquals(1, noticesOf("old-2"), "what was tried has its end in time");
+    }
+
     @Test
     void anOwedNoticeGoesOutInTheNextLife() throws Exception {
         earlierLife("order", 0, 10_000, true);
--- a/src/test/java/slipfield/recovery/PlanTest.java
+++ b/src/test/java/slipfield/recovery/PlanTest.java
@@ -12,6 +12,17 @@
 import org.junit.jupiter.api.Test;
 
 class PlanTest {
+    @Test
+    void whatWasNeverTriedHasItsReserveToBeTriedIn() {
+        assertEquals(5000, Plan.leftMs(5000, 700, true));
+        assertEquals(700, Plan.leftMs(300, 700, true), "it never has less than one that is further over");
+        assertEquals(700, Plan.leftMs(0, 700, true));
+        assertEquals(100, Plan.leftMs(-600, 700, true));
+        assertEquals(-100, Plan.leftMs(-800, 700, true), "its client's time is over");
+        assertEquals(-600, Plan.leftMs(-600, 700, false));
+        assertEquals(300, Plan.leftMs(300, 700, false));
+    }
+
     private static Plan.Item item(long number, long leftMs) {
         return new Plan.Item(number, leftMs, false, false);
     }
