Rig: counts what restarts find untried, and fails a run that gives up over half with no call

Change: venues, desks and the platform are read for each restart: orders taken on by that sender, seen by no venue before it ended, with time left once it was back; those called since, and those refused or failed that no venue ever saw. Over half of what all restarts of a run found, from eight on, breaks the rule 'untried'; the command line prints the counts. Orders are told with the sender that they go to, and a sender's return is an event.

--- a/src/main/java/slipfield/cli/RigCommand.java
+++ b/src/main/java/slipfield/cli/RigCommand.java
@@ -4,6 +4,7 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
@@ -15,6 +16,7 @@
 import slipfield.config.BadInput;
 import slipfield.rig.FleetRun;
 import slipfield.rig.ScheduleFile;
+import slipfield.rig.check.Untried;
 import slipfield.rig.plan.Schedule;
 
 /** Many real senders on this machine, with faults between them. */
@@ -98,6 +100,10 @@
                 result.account().delivered(), result.account().refused(), result.account().failed(), result.account().lost(),
                 result.account().doubled(), Math.abs(result.latestMs()), result.latestMs() > 0 ? "after" : "before",
                 result.notes(), result.holds() ? "all rules held" : "NOT all rules held");
+        List<Untried> restarts = Untried.count(result.record());
+        out.printf(Locale.ROOT, "  %d restarts found %d orders untried: %d were called since, %d given up with no call%n", restarts.size(),
+                restarts.stream().mapToInt(Untried::found).sum(), restarts.stream().mapToInt(Untried::called).sum(),
+                restarts.stream().mapToInt(Untried::givenUp).sum());
         if (result.holds()) {
             Folders.delete(at);
             return true;
--- a/src/main/java/slipfield/rig/FleetRun.java
+++ b/src/main/java/slipfield/rig/FleetRun.java
@@ -247,6 +247,7 @@
     private void start(int sender) {
         Callable<Void> step = () -> {
             senders.get(sender).start();
+            record.saw(What.BACK, "", sender, -1, -1);
             return null;
         };
         starting.put(sender, starts.submit(step));
--- a/src/main/java/slipfield/rig/check/Checkers.java
+++ b/src/main/java/slipfield/rig/check/Checkers.java
@@ -30,6 +30,7 @@
         Map<String, Rule> rules = new LinkedHashMap<>();
         rules.put("lost", Checkers::lost);
         rules.put("ends", Checkers::ends);
+        rules.put("untried", Untried::check);
         rules.put("doubled", Checkers::doubled);
         rules.put("drain", Checkers::drain);
         rules.put("wait", Checkers::waits);
--- a/src/main/java/slipfield/standin/Desks.java
+++ b/src/main/java/slipfield/standin/Desks.java
@@ -193,7 +193,7 @@
             }
             Ledger.Effect effect = orders % 2 == 0 ? Ledger.Effect.KEYED : Ledger.Effect.ONCE;
             out = "o-" + number + "-" + orders++;
-            ledger.handedIn(out, effect, budgetMs);
+            ledger.handedIn(out, effect, budgetMs, number);
             String type = effect == Ledger.Effect.KEYED ? TrialWorld.KEYED : TrialWorld.ONCE;
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/" + type,
                     Unpooled.wrappedBuffer(BODY));
--- a/src/main/java/slipfield/standin/Ledger.java
+++ b/src/main/java/slipfield/standin/Ledger.java
@@ -114,8 +114,13 @@
 
     /** An order that has so long from now on. */
     void handedIn(String id, Effect effect, long budgetMs) {
+        handedIn(id, effect, budgetMs, -1);
+    }
+
+    /** The same, handed in to the sender of this number. */
+    void handedIn(String id, Effect effect, long budgetMs, int sender) {
         orders.put(id, new Order(id, effect, budgetMs));
-        witness.saw(Witness.What.HANDED_IN, id, -1, -1, budgetMs);
+        witness.saw(Witness.What.HANDED_IN, id, sender, -1, budgetMs);
     }
 
     void heard(String id, boolean taken) {
--- a/src/main/java/slipfield/standin/Witness.java
+++ b/src/main/java/slipfield/standin/Witness.java
@@ -4,7 +4,7 @@
 public interface Witness {
     /** What was seen. */
     enum What {
-        /** A desk hands an order in; {@code value}: its budget in ms. */
+        /** A desk hands an order in, to this sender where it is known; {@code value}: its budget in ms. */
         HANDED_IN,
         /** The desk hears that it is taken on. */
         HEARD_TAKEN,
@@ -32,6 +32,8 @@
         TOLD_SERVING,
         /** A sender's process is gone: what it knew of waits is over. */
         ENDED,
+        /** A sender's process is there again, and takes orders. */
+        BACK,
         /** A venue's trouble begins. */
         DOWN,
         /** It is over, and the venue is cold. */
--- a/src/test/java/slipfield/rig/check/CheckersTest.java
+++ b/src/test/java/slipfield/rig/check/CheckersTest.java
@@ -72,6 +72,38 @@
         assertEquals(List.of("doubled"), broken());
     }
 
+    /** Twenty orders of which a kill leaves fifteen untried; one has no time left when the sender is back. */
+    private void restart(int called, int givenUp) {
+        for (int i = 0; i < 20; i++) {
+            saw(i, What.HANDED_IN, "a" + i, 1, -1, i == 5 ? 900 : 5000);
+            saw(i + 1, What.HEARD_TAKEN, "a" + i, -1, -1, -1);
+            if (i < 5) {
+                saw(i + 2, What.RUN, "a" + i, 1, 0, 0);
+                saw(i + 3, What.ANSWERED, "a" + i, -1, -1, -1);
+            }
+        }
+        saw(100, What.ENDED, "", 1, -1, -1);
+        saw(1000, What.BACK, "", 1, -1, -1);
+        saw(1001, What.TOLD_REFUSED, "a5", -1, -1, -1);
+        for (int i = 0; i < called; i++) {
+            saw(2000, What.TURNED_AWAY, "a" + (6 + i), 1, 0, 0);
+            saw(3000, What.TOLD_REFUSED, "a" + (6 + i), -1, -1, -1);
+        }
+        for (int i = 0; i < givenUp; i++) {
+            saw(2000, What.TOLD_REFUSED, "a" + (19 - i), -1, -1, -1);
+        }
+    }
+
+    @Test
+    void givingUpOverHalfOfWhatRestartsFoundUntriedIsSeen() {
+        restart(7, 7);
+        assertEquals(List.of(new Untried(1, 1000, 14, 7, 7)), Untried.count(record));
+        assertEquals(List.of(), broken());
+        record.clear();
+        restart(6, 8);
+        assertEquals(List.of("untried"), broken());
+    }
+
     @Test
     void whatRanIsNotRefused() {
         order("a");
