A spoilt list is asked for again soon, older changes undo no drain, an end that compacts is known

Now Asking.Answer.SPOILT, the pause of silence (0.1 to 0.6 s). - Changes (not a whole list) of a version before the known one were taken: a drain told since was undone. Now the whole list is asked for. - After a turn that the disk did not take, the next record is written with all that is live. If that was an end, its id stood nowhere in the new file ("expected {id-1=true} but was {}"), and the next life would have taken it again under that id. Tests: DiscoveryTest (2), AskingTest, JournalTest (1), each seen to fail without its mend.

--- a/src/main/java/slipfield/directory/Discovery.java
+++ b/src/main/java/slipfield/directory/Discovery.java
@@ -98,7 +98,8 @@
         if (Sender.FLOWS) {
             Flow.step("list_answered", answer.map(a -> a.status().code() + " " + a.content().readableBytes()).orElse("none"));
         }
-        boolean read = answer.filter(a -> a.status().code() == 200).filter(this::read).isPresent();
+        boolean listed = answer.filter(a -> a.status().code() == 200).isPresent();
+        boolean read = listed && read(answer.get());
         if (silent == read) {
             silent = !read;
             if (read) {
@@ -108,7 +109,7 @@
             }
         }
         long pauseMs = asking.pause(read ? Asking.Answer.LIST
-                : answer.isPresent() ? Asking.Answer.TURNED_AWAY : Asking.Answer.NONE, tookMs);
+                : answer.isEmpty() ? Asking.Answer.NONE : listed ? Asking.Answer.SPOILT : Asking.Answer.TURNED_AWAY, tookMs);
         if (pauseMs == 0) {
             watch();
         } else {
@@ -131,8 +132,16 @@
             if (!list.path("generation").isIntegralNumber() || !list.path("instances").isArray()) {
                 return false;
             }
-            generation = list.path("generation").asLong();
-            take(list, list.path("reset").asBoolean());
+            long told = list.path("generation").asLong();
+            boolean whole = list.path("reset").asBoolean();
+            if (!whole && told < generation) {
+                // Changes from before what is known would undo it, a drain perhaps: the whole list settles it.
+                Log.warn("discovery.older", "told", told, "known", generation);
+                generation = -1;
+                return false;
+            }
+            generation = told;
+            take(list, whole);
             return true;
         } catch (IOException e) {
             Log.warn("discovery.unreadable", "cause", e);
--- a/src/main/java/slipfield/fleet/Asking.java
+++ b/src/main/java/slipfield/fleet/Asking.java
@@ -10,7 +10,8 @@
  * Jitter"; Bronson and others, "Metastable Failures in Distributed Systems", HotOS 2021.)
  *
  * <p>Silence is another matter: a discovery that is down costs nothing to ask, and what it has to tell counts as told soon
- * after it is back. There the pause stays short, and is drawn only so that senders do not ask in step.
+ * after it is back. There the pause stays short, and is drawn only so that senders do not ask in step. A list that came and
+ * can't be used is the same: it cost its asker nothing to wait for, and what it said has to be heard soon.
  */
 public final class Asking {
     /** What came of a call. */
@@ -19,6 +20,8 @@
         LIST,
         /** An answer that tells nothing: there is a discovery, and it has too much to do. */
         TURNED_AWAY,
+        /** A list that can't be used: what it tells counts as told all the same. */
+        SPOILT,
         /** None, in its time. */
         NONE
     }
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -161,8 +161,9 @@
 
     /** Nothing more is owed for the message; its id is known for a while. */
     public void ended(Held held) throws IOException {
-        end(held, Form.ENDED);
+        // First: a compaction that its record causes has to tell of it, since there the record finds no message any more.
         kept.over(held.id, delivered(held));
+        end(held, Form.ENDED);
     }
 
     static boolean delivered(Held held) {
--- a/src/test/java/slipfield/directory/DiscoveryTest.java
+++ b/src/test/java/slipfield/directory/DiscoveryTest.java
@@ -148,6 +148,42 @@
         }
     }
 
+    /**
+     * What a list that can't be read tells counts as told: after four in a row, each held for a discovery with too much to do, the
+     * pauses of one of fourteen senders were 13 s together at the least.
+     */
+    @Test
+    void aListThatCannotBeReadIsAskedForAgainSoon() throws Exception {
+        start((request, socket) -> {
+            if (stub.requests.size() > 1 && stub.requests.size() < 6) {
+                Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"instances\":");
+            } else {
+                list(socket, stub.requests.size(), true, entry("s-" + stub.requests.size(), "SERVING", "1.0"));
+            }
+        }, Optional.empty());
+        Stub.await("the list after them", () -> stub.requests.size() > 6);
+        long tookMs = (stub.requests.get(5).atNanos() - stub.requests.get(1).atNanos()) / 1_000_000;
+        assertTrue(tookMs < 10_000, tookMs + " ms");
+    }
+
+    /** Changes of an older version would undo a drain that was told since. */
+    @Test
+    void changesFromBeforeWhatIsKnownAreNotTaken() throws Exception {
+        start((request, socket) -> {
+            switch (stub.requests.size()) {
+                case 1 -> list(socket, 5, true, entry("s-1", "DRAINING", "1.0"));
+                case 2 -> list(socket, 4, false, entry("s-1", "SERVING", "1.0"));
+                case 3 -> list(socket, 3, true, entry("s-2", "SERVING", "1.0"));
+                default -> { }
+            }
+        }, Optional.empty());
+        Stub.await("the whole list", () -> stub.requests.size() == 4);
+        assertFalse(stub.requests.get(2).line().contains("after="), "the whole list settles it");
+        assertEquals(List.of("s-2"), told.stream().map(Directory.Entry::id).toList());
+        assertEquals(2, wholes.get());
+        assertTrue(stub.requests.get(3).line().contains("after=3&"), "a whole list may begin another reckoning");
+    }
+
     /** A state that is not known gets nothing new; figures that can't be meant count as none; the rest is taken. */
     @Test
     void statesAndFiguresThatCannotBeMeantAreNotBelieved() throws Exception {
--- a/src/test/java/slipfield/fleet/AskingTest.java
+++ b/src/test/java/slipfield/fleet/AskingTest.java
@@ -92,6 +92,7 @@
             Asking asking = new Asking(14, new SplittableRandom(seed));
             for (int i = 0; i < 30; i++) {
                 pauses.add(asking.pause(Answer.NONE, 2500));
+                pauses.add(asking.pause(Answer.SPOILT, 2500));
             }
         }
         assertTrue(pauses.stream().allMatch(p -> p >= 100 && p <= 600), pauses.toString());
--- a/src/test/java/slipfield/journal/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -495,6 +495,28 @@
         }
     }
 
+    /** After a turn that could not be written the next record is written with all that is live: an end tells of itself there. */
+    @Test
+    void theIdOfAnEndThatCompactsIsKnownInTheNextLife() throws Exception {
+        SmallDisk disk = new SmallDisk();
+        try (Journal journal = new Journal(folder, DISK, 12, new LifeClock.Mark(0, 0, 0), disk::open)) {
+            Held first = held(journal, 10);
+            Held second = held(journal, 10);
+            journal.taken(first);
+            journal.taken(second);
+            journal.begin();
+            journal.attempt(first, new Held.Attempt("s-1", 1));
+            disk.room = 0;
+            assertThrows(IOException.class, journal::flush);
+            disk.room = Long.MAX_VALUE;
+            journal.ended(second);
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of("id-0"), journal.held().stream().map(h -> h.id).toList());
+            assertEquals(Map.of("id-1", true), journal.over());
+        }
+    }
+
     /** At every byte of a recorded journal: what is held is what the whole records before the cut say. */
     @Test
     void cutAnywhereTheJournalHoldsWhatWasWritten() throws Exception {
