A call cancelled before its connection is up never ran, and is told so

Its first byte is written only once the connection is up. Change: it ends as not sent. Test seen to fail without: EndpointsTest, 'expected NOT_SENT but was CANCELLED'.

--- a/src/main/java/slipfield/core/Transport.java
+++ b/src/main/java/slipfield/core/Transport.java
@@ -20,7 +20,7 @@
         /** When it began, by {@link System#nanoTime}. */
         long startedNanos();
 
-        /** Stops waiting for it; its end is still reported. */
+        /** Stops waiting for it; its end is still reported, as one that never ran where that is sure. */
         void cancel();
     }
 
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -289,10 +289,10 @@
             return startedNanos;
         }
 
-        /** By closing its connection. */
+        /** By closing its connection. What is still being connected has not one byte out: it has surely not run. */
         @Override
         public void cancel() {
-            end(Outcome.CANCELLED);
+            end(connection == null ? Outcome.NOT_SENT : Outcome.CANCELLED);
             close();
         }
 
--- a/src/test/java/slipfield/transport/http/EndpointsTest.java
+++ b/src/test/java/slipfield/transport/http/EndpointsTest.java
@@ -206,6 +206,16 @@
         assertEquals(1, stub.requests.get(1).connection());
     }
 
+    /** Else a keyed message that was never written would be failed when a window is over that never began. */
+    @Test
+    void aCallThatIsCancelledBeforeItsConnectionIsUpNeverRan() throws Exception {
+        Held held = new Held(1, "id-1", "order", "t", Optional.of("key-1"), 7, 0, new byte[0]);
+        loop.submit(() -> endpoints.attempt(held, 0, 1, new Within(LONG_MS, LONG_MS), System.nanoTime()).cancel()).get();
+        assertEquals(new End(Outcome.NOT_SENT, false, 0), end());
+        expect(Outcome.DELIVERED, Stub.status(200, ""));
+        assertEquals(1, stub.requests.size());
+    }
+
     @Test
     void aConnectionIsKeptForTheNextCallAfterAnyWholeAnswer() throws Exception {
         expect(Outcome.DELIVERED, (request, socket) -> {
