--- a/src/test/java/slipfield/rig/FleetRunTest.java
+++ b/src/test/java/slipfield/rig/FleetRunTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import slipfield.rig.check.Untried;
 import slipfield.rig.plan.Fault;
 import slipfield.rig.plan.Fault.Kind;
 import slipfield.rig.plan.Schedule;
@@ -24,6 +25,19 @@
                 kind.namesOthers() ? List.of(other) : List.of(), size);
     }
 
+    /** Two venues of three are out, all senders are killed with what waits for them, and as much comes as the venues take. */
+    @Test
+    void whatRestartsFindUntriedIsTried() throws Exception {
+        Schedule schedule = new Schedule(3, 3, 12_000, List.of(
+                new Fault(Kind.VENUE_DOWN, 1000, 4000, List.of(), List.of(0, 1), 0),
+                new Fault(Kind.KILL, 4500, 500, List.of(), List.of(), 0)));
+        FleetRun.Result result = new FleetRun(schedule, folder, 60, 1).play();
+        assertEquals(List.of(), result.violations());
+        List<Untried> restarts = Untried.count(result.record());
+        assertEquals(3, restarts.size());
+        assertTrue(restarts.stream().mapToInt(Untried::found).sum() >= 20, restarts.toString());
+    }
+
     @Test
     void allRulesHoldWhateverGoesWrong() throws Exception {
         Schedule schedule = new Schedule(3, 3, 9000, List.of(
