Settings that make no sense are told with key, value and mend

Seen on reading: a figure that is no number was told without its key ('not a number among the settings: soon'), and none, 0 or NaN of workers, tries, classes or kinds ended the start with an exception of the module in place of a line. Change: Params names the key, the value and what to put there. Defaults for settings that are left out are as before; the module's cold start still has none.

--- a/src/main/java/slipfield/config/Params.java
+++ b/src/main/java/slipfield/config/Params.java
@@ -51,12 +51,27 @@
         Relay.ColdStart cold = new Relay.ColdStart(number("rules.start_capacity"),
                 number("rules.warm_after_ms"), number("rules.fall_multiple"), number("rules.fall_ms"));
         boolean ratesListed = !textOr("weight_kind", "none").equals("none");
+        atLeastOne("family_info.workers", "calls that may be out at once");
+        atLeastOne("limits.most_tries", "attempts at a message");
+        if (classes.isEmpty()) {
+            throw new BadInput("setting classes names none: name each class of message that clients hand in");
+        }
+        if (kinds.isEmpty()) {
+            throw new BadInput("settings family_info.separate_routes and family_info.batch_by_kind name no kind: "
+                    + "give one value for each of flavors");
+        }
         return new Relay.Settings(classes, kinds, ratesListed, decay, fees,
                 fleetSize().orElse(1), (int) number("family_info.workers"),
                 (int) number("limits.most_tries"), flag("limits.second_copies"), flag("limits.cancel"),
                 numberOr("rules.order_pause_ms", 0), numberOr("limits.keepalive_ms", 0), cold);
     }
 
+    private void atLeastOne(String name, String meaning) throws BadInput {
+        if (!(number(name) >= 1)) {
+            throw new BadInput("setting " + name + " is " + text(name) + ": give 1 or more, " + meaning);
+        }
+    }
+
     /**
      * How many senders there are. None where it is missing, no number, or what no fleet has: a sender that believed it would
      * share each limit with nobody, or with so many that it sends nothing. It counts itself alone then.
@@ -91,7 +106,12 @@
 
     /** The number in a setting that must be there. */
     public double number(String name) throws BadInput {
-        return parse(text(name));
+        String value = text(name);
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new BadInput("setting " + name + " is '" + value + "': give a number");
+        }
     }
 
     /** The number in a setting, or what stands for its absence. */
