Test: settings that changed between two lives end each held message once

Need: the issue's case of a class, a tenant or a destination that is gone after a restart. Each ends once on real sockets: failed, delivered, refused at its time. A message of a gone class that surely never ran is failed, not refused: no harm, but less than could be said; noted in the review.

--- a/src/test/java/slipfield/daemon/SenderTest.java
+++ b/src/test/java/slipfield/daemon/SenderTest.java
@@ -597,6 +597,24 @@
         assertEquals(1, noticesOf("old-2"), "what may have run has its end in time");
     }
 
+    /** Its class, its tenant or its destination is not there any more: each message held has one end all the same. */
+    @Test
+    void settingsThatChangedBetweenTwoLivesEndEachMessageOnce() throws Exception {
+        try (Journal journal = earlier(LifeClock.system().mark())) {
+            long wall = System.currentTimeMillis();
+            for (String[] now : new String[][] {{"class", "gone", "acme", "7"}, {"tenant", "order", "renamed", "7"},
+                    {"dest", "order", "acme", "99"}}) {
+                journal.taken(new Held(journal.nextNumber(), now[0], now[1], now[2], Optional.of("key-" + now[0]),
+                        Long.parseLong(now[3]), wall + 4000, new byte[0]));
+            }
+        }
+        start();
+        awaitNothingHeld();
+        assertEquals(List.of("tenant"), calls().stream().map(c -> c.header("X-Call-Id")).toList());
+        assertEquals(List.of(1L, 0L, 1L), List.of(noticesOf("class"), noticesOf("tenant"), noticesOf("dest")));
+        assertTrue(notices.stream().anyMatch(n -> n.contains("\"dest\"") && n.contains("bounced")), "it never ran: " + notices);
+    }
+
     @Test
     void anOwedNoticeGoesOutInTheNextLife() throws Exception {
         earlierLife("order", 0, 10_000, true);
