--- a/src/main/java/slipfield/policy/Logic.java
+++ b/src/main/java/slipfield/policy/Logic.java
@@ -144,6 +144,8 @@
     private static final double RANK_HORIZON_MS = 1500;
     /** Weight of plain worth in the rank, to settle ties between messages that lose nothing yet. */
     private static final double RANK_WORTH = 0.01;
+    /** Rank of what an earlier life took and did not try, less its deadline: the next to end before all. */
+    private static final double UNTRIED_RANK = 1e12;
     /** Time worth a fee of one point: about what a message loses in worth when it waits so long. */
     private static final double FEE_MS = 25_000;
     private static final Comparator<Delivery> PRESSING_FIRST =
@@ -225,6 +227,7 @@
         for (EarlierAttempt earlier : attempts) {
             d.attempts.add(new Attempt(d, Optional.ofNullable(targets.get(earlier.endpoint())), earlier));
         }
+        d.foundUntried = attempts.isEmpty();
         keys.resumed(d);
         if (!attempts.isEmpty()) {
             giveUpInTime(d);
@@ -599,6 +602,7 @@
         double rank;
         int waves;
         boolean refused;
+        boolean foundUntried;
         int out;
         boolean ended;
         Timers.Timer giveUp;
@@ -629,7 +633,8 @@
 
         double rank() {
             double worth = worthAt(clock);
-            return worth - worthAt(clock + RANK_HORIZON_MS) + RANK_WORTH * worth;
+            return foundUntried && attempts.isEmpty() ? UNTRIED_RANK - deadline
+                    : worth - worthAt(clock + RANK_HORIZON_MS) + RANK_WORTH * worth;
         }
     }
 
--- a/src/test/java/slipfield/policy/FleetBench.java
+++ b/src/test/java/slipfield/policy/FleetBench.java
@@ -290,6 +290,7 @@
     private final long seed;
     /** Of the messages, by sender; none where all have the same share. */
     private double[] shares = new double[0];
+    private final Set<Long> untried = new HashSet<>();
     private long messages;
 
     FleetBench(long seed) {
@@ -371,6 +372,16 @@
         return living.get(living.size() - 1);
     }
 
+    /** What restarts found taken on and untried, with time left. */
+    long foundUntried() {
+        return untried.size();
+    }
+
+    /** So many of those were tried since. */
+    long triedSince() {
+        return untried.stream().filter(id -> senders.stream().anyMatch(s -> s.attempts.getOrDefault(id, 0) > 0)).count();
+    }
+
     /** A sender is killed, and comes back after so long with its journal: what it held, and what it remembered. */
     void restart(int number, double afterMs) {
         Sender dead = senders.get(number);
@@ -384,6 +395,9 @@
             for (Relay.Message m : dead.held.values()) {
                 List<Relay.EarlierAttempt> earlier = dead.earlier.getOrDefault(m.id(), List.of());
                 next.held.put(m.id(), m);
+                if (earlier.isEmpty() && now < takenAt.get(m.id()) + CLASS_DEADLINE_MS) {
+                    untried.add(m.id());
+                }
                 next.attempts.put(m.id(), earlier.size());
                 next.relay.resumed(now, new Relay.Message(m.id(), 0, 0, Optional.empty(),
                         Math.max(10, CLASS_DEADLINE_MS - (now - takenAt.get(m.id()))), m.destination()), earlier);
--- a/src/test/java/slipfield/policy/FleetTest.java
+++ b/src/test/java/slipfield/policy/FleetTest.java
@@ -219,6 +219,26 @@
         atLeast(0.85, fleet -> restarted(fleet).delivered(13_000, 20_000) / (7 * 60.0));
     }
 
+    /**
+     * The users' term: what a restart finds taken on and untried is still tried. All of it has lost its worth by then, and more
+     * comes than its destination takes: ranked by worth alone it waits behind each fresh order until its time is over.
+     */
+    @Test
+    void whatARestartFindsUntriedIsTriedHoweverMuchComesAfterIt() {
+        atLeast(0.95, fleet -> {
+            Destination d = fleet.destination(Counts.RATE, 10);
+            fleet.senders(2, 2).offer(d, 12, 0, 5000).clump(d, 50, 4990);
+            fleet.at(5001, () -> {
+                fleet.restart(0, 2500);
+                fleet.restart(1, 2600);
+            });
+            fleet.at(7650, () -> fleet.offer(d, 14, 7650, 20_000));
+            fleet.until(20_000);
+            assertTrue(fleet.foundUntried() > 30, fleet.foundUntried() + " were found");
+            return (double) fleet.triedSince() / fleet.foundUntried();
+        });
+    }
+
     private static Destination restarted(FleetBench fleet) {
         Destination d = fleet.destination(Counts.RATE, 60);
         fleet.senders(14, 14).offer(d, 65, 0, 20_000);
