A socket that can't be opened ends one attempt to connect, not all calls to the agent

Callers saw: orders that were taken on and had no end at all. Cause: where socket() fails, Netty's connect future holds a channel that belongs to no event loop and completes on a thread of Netty's own. Agent.ask closed that channel before it ended the request; the close threw, the request had no end, and the lane of notices, or the watch, that had asked waited for good. The library of desks and the link to a broker had the same listener, the calls to endpoints too (there the time-out came to the rescue, late). Ruled out: a connection that is refused or reset; that path has a registered channel and always worked.

Change: Connector connects and tells the outcome once, on the loop, never inside the call; the agent, endpoints and brokers use it, the desks' library does the same in its own jar. agent.connect_failed and attempt.connect_failed say why, with message and attempt.

--- a/src/main/java/slipfield/agent/Agent.java
+++ b/src/main/java/slipfield/agent/Agent.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -21,6 +20,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import slipfield.config.Config;
+import slipfield.log.Log;
+import slipfield.socket.Connector;
 
 /**
  * The platform's agent, over one kept connection that carries one request at a time. It may go silent
@@ -98,14 +99,23 @@
             send(mine, request, limitMs);
             return;
         }
-        bootstrap.connect(address).addListener((ChannelFuture f) -> {
-            if (current != mine || !f.isSuccess()) {
+        Connector.connect(bootstrap, loop, address, new Connector.Listener() {
+            @Override
+            public void connected(Channel fresh) {
+                if (current == mine) {
+                    channel = fresh;
+                    send(mine, request, limitMs);
+                } else {
+                    request.release();
+                    fresh.close();
+                }
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                Log.warn("agent.connect_failed", "agent", Config.hostPort(address), "cause", cause);
                 request.release();
-                f.channel().close();
                 mine.end(Optional.empty());
-            } else {
-                channel = f.channel();
-                send(mine, request, limitMs);
             }
         });
     }
--- a/src/main/java/slipfield/amqp/client/BrokerLink.java
+++ b/src/main/java/slipfield/amqp/client/BrokerLink.java
@@ -30,6 +30,7 @@
 import slipfield.amqp.decide.Redial;
 import slipfield.amqp.decide.Tuning;
 import slipfield.log.Log;
+import slipfield.socket.Connector;
 
 /**
  * A connection to a broker with one channel, dialled again whenever it is down. Whoever opens more channels on it, as
@@ -93,7 +94,7 @@
 
     /** Connects, and again whenever it is down. */
     public void dial() {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -104,11 +105,18 @@
                         made.pipeline().addLast(new FlushConsolidationHandler(FLUSH_AFTER, true), decoder, encoder,
                                 new Life(decoder, encoder));
                     }
-                }).connect(broker.address()).addListener((ChannelFuture f) -> {
-                    if (!f.isSuccess()) {
-                        again(f.cause().getMessage());
-                    }
                 });
+        Connector.connect(bootstrap, loop, broker.address(), new Connector.Listener() {
+            @Override
+            public void connected(Channel channel) {
+                // Its first handler has taken it over.
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                again(cause.getMessage());
+            }
+        });
     }
 
     private void again(String why) {
--- a/src/main/java/slipfield/client/Link.java
+++ b/src/main/java/slipfield/client/Link.java
@@ -60,17 +60,23 @@
 
     /** Connects by this bootstrap, whose remote address is the sender's. */
     void connect(Bootstrap bootstrap) {
-        bootstrap.connect().addListener((ChannelFuture f) -> {
-            if (over) {
-                f.channel().close();
-            } else if (f.isSuccess()) {
-                channel = f.channel();
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LONGEST_ANSWER), this);
-                owner.up(this);
-            } else {
-                gone("can't connect: " + f.cause().getMessage());
+        ChannelFuture connecting = bootstrap.connect();
+        // On the loop in any case: where no socket can be opened the future completes on a thread of Netty's own.
+        connecting.addListener(done -> bootstrap.config().group().next().execute(() -> connected(connecting)));
+    }
+
+    private void connected(ChannelFuture connecting) {
+        if (!connecting.isSuccess()) {
+            if (!over) {
+                gone("can't connect: " + connecting.cause().getMessage());
             }
-        });
+        } else if (over) {
+            connecting.channel().close();
+        } else {
+            channel = connecting.channel();
+            channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LONGEST_ANSWER), this);
+            owner.up(this);
+        }
     }
 
     /** Whether it can take a request. */
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -50,6 +49,7 @@
 import slipfield.policy.Relay.Outcome;
 import slipfield.policy.Relay.Told;
 import slipfield.policy.Relay.Within;
+import slipfield.socket.Connector;
 import slipfield.trace.Trace;
 
 /**
@@ -195,11 +195,22 @@
         if (trace != null) {
             trace.enter(Trace.Part.CONNECTS);
         }
-        ChannelFuture connecting = bootstrap.connect(dialled);
+        Connector.connect(bootstrap, loop, dialled, new Connector.Listener() {
+            @Override
+            public void connected(Channel channel) {
+                call.connected(channel, dialled);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                Log.warn("attempt.connect_failed", "message", call.held.id, "attempt", call.number, "endpoint",
+                        Config.hostPort(dialled), "cause", cause);
+                call.end(Outcome.UNREACHABLE);
+            }
+        });
         if (trace != null) {
             trace.leave();
         }
-        connecting.addListener((ChannelFuture f) -> call.connected(f, dialled));
     }
 
     /** Accounts for connecting and for answers from now on. */
@@ -296,17 +307,15 @@
             close();
         }
 
-        private void connected(ChannelFuture f, InetSocketAddress dialled) {
+        private void connected(Channel channel, InetSocketAddress dialled) {
             if (done) {
-                f.channel().close();
-            } else if (!f.isSuccess()) {
-                end(Outcome.UNREACHABLE);
+                channel.close();
             } else if (!peer.serving || !dialled.equals(peer.address)) {
                 // Connecting took its time, and the list has changed meanwhile: nothing new may go there.
                 end(Outcome.NOT_SENT);
-                f.channel().close();
+                channel.close();
             } else {
-                Connection fresh = f.channel().pipeline().get(Connection.class);
+                Connection fresh = channel.pipeline().get(Connection.class);
                 fresh.peer = peer;
                 fresh.address = dialled;
                 if (ends.mayBegin(this)) {
