An interrupted read is no end of the stream: connections to endpoints and agent

Callers saw: orders that failed, or ran and were not known to have run, since their connection was closed under the call. Cause: the JDK tells a non-blocking read that was interrupted (EINTR) by a count of -3, and Netty's NioByteUnsafe takes any count below 0 for the end of the stream and closes the channel. Ruled out: writes (a count of 0 or less waits for the selector), file I/O (the JDK tries again).

Change: StreamChannel reads 0 bytes there, and the selector reports the socket again.

--- a/src/main/java/slipfield/agent/Agent.java
+++ b/src/main/java/slipfield/agent/Agent.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -22,6 +21,7 @@
 import slipfield.config.Config;
 import slipfield.log.Log;
 import slipfield.socket.Connector;
+import slipfield.socket.StreamChannel;
 
 /**
  * The platform's agent, over one kept connection that carries one request at a time. It may go silent
@@ -71,7 +71,7 @@
     public Agent(EventLoop loop, InetSocketAddress address, Consumer<Channel> secured) {
         this.loop = loop;
         this.address = address;
-        this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(StreamChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/slipfield/amqp/client/BrokerLink.java
+++ b/src/main/java/slipfield/amqp/client/BrokerLink.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.Future;
@@ -31,6 +30,7 @@
 import slipfield.amqp.decide.Tuning;
 import slipfield.log.Log;
 import slipfield.socket.Connector;
+import slipfield.socket.StreamChannel;
 
 /**
  * A connection to a broker with one channel, dialled again whenever it is down. Whoever opens more channels on it, as
@@ -94,7 +94,7 @@
 
     /** Connects, and again whenever it is down. */
     public void dial() {
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true)
+        Bootstrap bootstrap = new Bootstrap().group(loop).channelFactory(StreamChannel::new).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -13,7 +13,6 @@
 import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -50,6 +49,7 @@
 import slipfield.policy.Relay.Told;
 import slipfield.policy.Relay.Within;
 import slipfield.socket.Connector;
+import slipfield.socket.StreamChannel;
 import slipfield.trace.Trace;
 
 /**
@@ -92,7 +92,7 @@
         this.ends = ends;
         this.idleNanos = (long) (keepAliveMs * IDLE_SHARE * 1e6);
         this.mostIdle = mostIdle;
-        this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(StreamChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 // A buffer outside the heap for each answer would be allocated and freed by the system each time.
                 .option(ChannelOption.ALLOCATOR, new PreferHeapByteBufAllocator(ByteBufAllocator.DEFAULT))
