A failed accept or bind holds up nobody: accepting has a loop of its own and goes on

Callers saw: no answer within the 400 ms that they wait, connections that stood and went silent, requests that were read and ended without an answer, and starts that were refused. Causes, four of one class (a call of the listener that fails for a moment is taken for more than that): - Netty's acceptor stops accepting for a second after a failed accept; clients wait 0.4 s. - The JDK tries accept again inside the call as long as it says ECONNABORTED, here on the event loop that owns everything: ends, notices and calls stood still for as long as that lasted. - At the end of a process one failed accept closed the listener over connections that were made. - A socket or bind that failed at the start ended the process.

The sender's end waits for it (Front.accepting). AMQP's listeners use the same class on the event loop; they have no loop of their own yet.

--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.ClientAuth;
 import io.netty.handler.ssl.SslContext;
@@ -31,6 +30,7 @@
 import slipfield.amqp.codec.FrameEncoder;
 import slipfield.amqp.decide.Backpressure;
 import slipfield.config.Config;
+import slipfield.socket.Listener;
 
 /** The listener and its connections, on the core's loop. */
 public final class AmqpServer {
@@ -105,7 +105,7 @@
     }
 
     private InetSocketAddress bind(InetSocketAddress address, Consumer<Channel> first) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channelFactory(Listener::new).handler(new Listener.AcceptFailures())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
--- a/src/main/java/slipfield/core/Front.java
+++ b/src/main/java/slipfield/core/Front.java
@@ -24,4 +24,13 @@
 
     /** Connections that clients have open. */
     int clients();
+
+    /** Whether connections that clients have made may still be taken up; {@link #close} ends that, not always at once. */
+    default boolean accepting() {
+        return false;
+    }
+
+    /** Lets go of what is not on the core's event loop, as the end of the process would; from any other thread. */
+    default void kill() {
+    }
 }
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -775,7 +775,7 @@
     }
 
     private void awaitIdle(long begun) {
-        boolean alone = fronts.stream().allMatch(front -> front.clients() == 0);
+        boolean alone = fronts.stream().allMatch(front -> front.clients() == 0 && !front.accepting());
         long leftMs = closingMs - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
         if (leftMs <= 0) {
             fronts.forEach(Front::finish);
@@ -815,6 +815,7 @@
      */
     public void kill() {
         loop.submit(journal::close).syncUninterruptibly();
+        fronts.forEach(Front::kill);
         group.shutdownGracefully(KILL_QUIET_MS, 10 * KILL_QUIET_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -11,9 +11,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -30,6 +33,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -47,6 +51,8 @@
 import slipfield.journal.Claim;
 import slipfield.journal.Held;
 import slipfield.log.Log;
+import slipfield.retry.Retry;
+import slipfield.socket.Listener;
 import slipfield.trace.Trace;
 
 /**
@@ -61,6 +67,7 @@
 public final class Intake implements Front {
     private static final int LONGEST_BODY = 64 * 1024;
     private static final long SWEEP_MS = 200;
+    private static final long ACCEPT_END_MS = 100;
     /** One in so many connections may follow ends. */
     private static final int FOLLOWERS = 4;
     /** Reads of one connection before the next one's turn. */
@@ -86,7 +93,11 @@
     private final List<Taken> taken = new ArrayList<>();
     /** Absent unless the sender is traced. */
     private Trace trace;
+    /** Accepting alone: it may be held up, and nothing else may be. */
+    private EventLoopGroup acceptors;
     private Listener listener;
+    /** Connections that are made may still wait to be accepted. */
+    private boolean accepting;
     private boolean closing;
 
     /** A message whose 202 waits for the journal. */
@@ -122,8 +133,9 @@
         this.desk = desk;
         this.mostClients = mostClients;
         this.crowd = new Crowd(mostClients);
-        bootstrap = new ServerBootstrap().group(loop, loop)
+        bootstrap = new ServerBootstrap()
                 .channelFactory(Listener::new)
+                .handler(new Listener.AcceptFailures())
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -166,13 +178,28 @@
     @Override
     public InetSocketAddress listen() throws IOException {
         loop.scheduleWithFixedDelay(crowd::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        acceptors = Retry.within(Retry.START_MS, "accept", Intake::acceptors);
+        bootstrap.group(acceptors, loop);
+        listener = Retry.within(Retry.START_MS, "listen", this::bind);
+        accepting = true;
+        return listener.localAddress();
+    }
+
+    private static EventLoopGroup acceptors() throws IOException {
+        try {
+            return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("accept", true), NioIoHandler.newFactory());
+        } catch (IllegalStateException e) {
+            throw new IOException("no selector can be opened", e);
+        }
+    }
+
+    private Listener bind() throws IOException {
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen at " + Config.hostPort(address) + ": " + bound.cause().getMessage()
                     + "; is another sender running there? Set another `listen`, or GW_LISTEN");
         }
-        listener = (Listener) bound.channel();
-        return listener.localAddress();
+        return (Listener) bound.channel();
     }
 
     /**
@@ -184,11 +211,21 @@
         closing = true;
         crowd.closing();
         hints.follow().ifPresent(Follow::release);
-        try {
-            listener.acceptRestAndClose();
-        } catch (Exception e) {
-            Log.warn("front.close_failed", "cause", e);
-            listener.close();
+        // Told behind the connections that were accepted last.
+        listener.closeFuture().addListener(closed -> loop.execute(() -> accepting = false));
+        listener.closeFuture().addListener(closed -> endAccepting());
+        listener.acceptRestAndClose();
+    }
+
+    private void endAccepting() {
+        acceptors.shutdownGracefully(0, ACCEPT_END_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void kill() {
+        if (listener != null && listener.isOpen()) {
+            listener.close().syncUninterruptibly();
+            endAccepting();
         }
     }
 
@@ -247,6 +284,11 @@
         return crowd.size();
     }
 
+    @Override
+    public boolean accepting() {
+        return accepting;
+    }
+
     /** Whether a 202 waits for the journal on this connection, or for this id. */
     private boolean awaited(Client client, String id) {
         for (Taken t : taken) {
--- a/src/test/java/slipfield/rig/FailingCallsTest.java
+++ b/src/test/java/slipfield/rig/FailingCallsTest.java
@@ -171,6 +171,7 @@
     void aReadThatIsInterruptedClosesNoConnection() throws Exception {
         sender.start();
         calls.fail(Call.SOCKET_READ, Errno.EINTR, 0.3);
+        calls.fail(Call.SOCKET_WRITE, Errno.EINTR, 0.3);
         world.desks().atRate(50);
         await("interrupted reads", () -> calls.struck(Call.SOCKET_READ) > 100);
         calls.heal();
