--- a/src/main/java/slipfield/policy/Logic.java
+++ b/src/main/java/slipfield/policy/Logic.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
 
 /**
  * The decision module. Its interface, with all types, events and actions, is Relay.java.
@@ -171,16 +170,18 @@
     private final Throttle retries = new Throttle(RETRY_BASE, RETRY_SHARE);
     private final Connections connections = new Connections();
     private final KeyOrder keys = new KeyOrder();
-    private final Timers timers = new Timers();
+    private final Timers timers;
     private int slotsUsed;
     private long turn;
     private double closesAt = Double.POSITIVE_INFINITY;
+    private boolean recording = true;
     private double clock = Double.NEGATIVE_INFINITY;
 
     Logic(Settings settings, long seed, Actions actions) {
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
+        this.timers = new Timers(actions::wakeAt, CLOCK_MARGIN_MS);
         this.joins = settings.kinds().stream().anyMatch(kind -> kind.batch() > 1);
     }
 
@@ -261,6 +262,12 @@
         closesAt = end;
     }
 
+    @Override
+    public void recording(double now, boolean possible) {
+        tick(now);
+        recording = possible;
+    }
+
     private Delivery take(Message message) {
         if (message.messageClass() < 0 || message.messageClass() >= settings.classes().size()) {
             throw new IllegalArgumentException("unknown class " + message.messageClass());
@@ -442,7 +449,7 @@
 
     /** The gates that hold for any send of the message there, whether it takes a slot or joins a call. */
     private boolean allows(Delivery d, Target target) {
-        return !d.ended && target.serving
+        return recording && !d.ended && target.serving
                 && clock < d.deadline - ANSWER_MARGIN_MS
                 && d.attempts.size() < settings.maxAttempts()
                 && mayRepeat(d, target)
@@ -1287,41 +1294,4 @@
                     .ifPresent(l -> lines.remove(d.message.key().get()));
         }
     }
-
-    /** What is due later, and the one wake that is asked for it. */
-    private final class Timers {
-        private final TreeSet<Timer> due =
-                new TreeSet<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::number));
-        private long count;
-        private double asked = Double.POSITIVE_INFINITY;
-
-        private record Timer(double at, long number, Runnable action) {
-        }
-
-        Timer add(double at, Runnable action) {
-            Timer timer = new Timer(at, count++, action);
-            due.add(timer);
-            return timer;
-        }
-
-        void cancel(Timer timer) {
-            due.remove(timer);
-        }
-
-        void run(double now) {
-            while (!due.isEmpty() && due.first().at() <= now) {
-                due.pollFirst().action().run();
-            }
-        }
-
-        void ask(double now, double opening) {
-            double next = Math.min(opening, due.isEmpty() ? Double.POSITIVE_INFINITY : due.first().at());
-            if (asked <= now + CLOCK_MARGIN_MS || next < asked) {
-                asked = next;
-                if (next < Double.POSITIVE_INFINITY) {
-                    actions.wakeAt(next);
-                }
-            }
-        }
-    }
 }
--- a/src/main/java/slipfield/policy/Relay.java
+++ b/src/main/java/slipfield/policy/Relay.java
@@ -62,6 +62,12 @@
      */
     void closing(double now, double end);
 
+    /**
+     * Whether attempts can be recorded from now on. While they can't, none is decided: one that a later life does not know of
+     * could run twice. Messages wait, and end in their time.
+     */
+    void recording(double now, boolean possible);
+
     /**
      * Whether an attempt that is out, and not one byte of it yet, may still begin: its connection took its time, and its
      * destination may have told a wait meanwhile, or its message be over. False: it ends as {@link Outcome#NOT_SENT}.
