A sender that was started with SIGHUP ignored says so

No log of 91 had config.reloaded though 74 configurations were replaced; each sender lost its old discovery 1.5 s later. Ruled out: the reload itself, since not one line of it was reached in any sender.

Change: signal.ignored in the log. The sender still leaves it ignored, as whoever started it so asked.

--- a/src/main/java/slipfield/daemon/Hangup.java
+++ b/src/main/java/slipfield/daemon/Hangup.java
@@ -32,8 +32,12 @@
                         // The JDK keeps handlers in a table.
                         return method.getName().equals("equals") ? (Object) (self == args[0]) : handler.hashCode();
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                // As nohup does: the JVM leaves it so, and a new configuration is never read.
+                Log.warn("signal.ignored", "signal", "HUP", "since", "the process was started with it ignored");
+            }
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             Log.warn("signal.unsupported", "signal", "HUP", "cause", e);
         }
