--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -48,7 +48,10 @@
     /** Records that are not in the file yet. */
     private final ByteArrayOutputStream batch = new ByteArrayOutputStream();
     private boolean batching;
-    /** Records were lost that later ones count on, such as attempts by their place: all is written anew first. */
+    /**
+     * The file lacks what memory holds: records could not be written, which later ones count on, such as attempts by their
+     * place. All is written anew before anything else is.
+     */
     private boolean stale;
     /** Absent unless the sender is traced. */
     private Trace trace;
@@ -68,17 +71,23 @@
         // A compaction that the process did not live to finish still takes up room.
         Files.deleteIfExists(next);
         channel = opener.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        Replay replay = new Replay(kept, Optional.of(clock));
-        replayed = replay.read(Files.readAllBytes(file));
+        try {
+            Replay replay = new Replay(kept, Optional.of(clock));
+            replayed = replay.read(Files.readAllBytes(file));
+            size = replay.end();
+            // A torn tail would hide all that is appended behind it.
+            channel.truncate(size);
+            channel.position(size);
+        } catch (IOException e) {
+            close();
+            throw e;
+        }
         tell(replayed);
-        size = replay.end();
-        // A torn tail would hide all that is appended behind it.
-        channel.truncate(size);
-        channel.position(size);
         try {
             write(Form.clock(clock));
         } catch (IOException e) {
-            // What is held has to be ended all the same; only a clock that is set meanwhile is not seen.
+            // What is held has to be ended all the same; it is written with the rest when the disk works again.
+            stale = true;
             Log.error("journal.write_failed", "cause", e);
         }
     }
@@ -134,13 +143,13 @@
     /** An end proved that the attempt never ran; if this is lost, it counts as one that may have. */
     public void neverRan(Held held, int attempt) throws IOException {
         held.attempts.get(attempt).neverRan = true;
-        append(held, Form.neverRan(held, attempt));
+        note(held, Form.neverRan(held, attempt));
     }
 
     /** The message has ended by a notice that is still to be heard. */
     public void owed(Held held, Held.Notice notice) throws IOException {
         held.owed = Optional.of(notice);
-        append(held, Form.owed(held, notice));
+        note(held, Form.owed(held, notice));
     }
 
     /** One more has to hear of a held message's end. */
@@ -155,7 +164,7 @@
         if (held.claims.isEmpty() && held.owed.isPresent()) {
             ended(held);
         } else {
-            append(held, Form.heard(held, claim));
+            note(held, Form.heard(held, claim));
         }
     }
 
@@ -177,7 +186,7 @@
 
     private void end(Held held, int type) throws IOException {
         if (kept.remove(held)) {
-            write(Form.end(type, held.number));
+            writeKnown(Form.end(type, held.number));
         }
     }
 
@@ -193,8 +202,8 @@
     /** A pace has changed; one that is unbounded takes up no room. */
     public void pace(PaceOf of, Relay.Pace now) throws IOException {
         byte[] record = Form.pace(of, now);
-        write(record);
         kept.pace(of, now, record.length);
+        writeKnown(record);
     }
 
     /** The paces that were known when the last process ended. */
@@ -209,8 +218,8 @@
     /** What is known of an endpoint has changed; one that is in service, or forgotten, takes up no room. */
     public void health(String endpoint, Health now) throws IOException {
         byte[] record = Form.health(endpoint, now);
-        write(record);
         kept.health(endpoint, now, record.length);
+        writeKnown(record);
     }
 
     /** What was known when the last process ended, of endpoints that were not in service. */
@@ -225,8 +234,12 @@
 
     @Override
     public void close() {
+        close(channel);
+    }
+
+    private static void close(FileChannel file) {
         try {
-            channel.close();
+            file.close();
         } catch (IOException e) {
             Log.warn("journal.close_failed", "cause", e);
         }
@@ -234,11 +247,40 @@
 
     // ---- writing ----
 
+    /** Nothing of it is so unless its record is written. */
     private void append(Held held, byte[] record) throws IOException {
         write(record);
         kept.count(held, record.length);
     }
 
+    /** It is so, whether or not its record can be written now. */
+    private void note(Held held, byte[] record) throws IOException {
+        kept.count(held, record.length);
+        writeKnown(record);
+    }
+
+    /** Writes what memory says already; where that fails, all is written anew as soon as it can be. */
+    private void writeKnown(byte[] record) throws IOException {
+        try {
+            write(record);
+        } catch (IOException e) {
+            stale = true;
+            throw e;
+        }
+    }
+
+    /** Whether the file lacks what memory holds: what is not in it is unknown to the next life. */
+    public boolean isStale() {
+        return stale;
+    }
+
+    /** Writes all anew if the file lacks anything. */
+    public void repair() throws IOException {
+        if (stale) {
+            compact();
+        }
+    }
+
     /** Accounts for the writing of records from now on. */
     public void traced(Trace by) {
         trace = by;
@@ -273,6 +315,11 @@
         }
         byte[] records = batch.toByteArray();
         batch.reset();
+        if (stale) {
+            // They are in memory too; behind a torn record nothing may be appended.
+            compact();
+            return;
+        }
         if (trace != null) {
             trace.enter(Trace.Part.JOURNAL);
         }
@@ -313,11 +360,21 @@
                 to.write(buffer);
             }
         } catch (IOException e) {
-            to.truncate(start);
+            truncate(to, start, e);
             throw e;
         }
     }
 
+    private void truncate(FileChannel to, long start, IOException cause) {
+        try {
+            to.truncate(start);
+        } catch (IOException e) {
+            // Nothing may be written behind the torn record.
+            stale = true;
+            cause.addSuppressed(e);
+        }
+    }
+
     private void compact() throws IOException {
         byte[] records = kept.records(clock);
         FileChannel fresh = opener.open(next, StandardOpenOption.CREATE,
@@ -326,16 +383,27 @@
             writeAll(fresh, records);
             Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
         } catch (IOException e) {
-            fresh.close();
-            Files.deleteIfExists(next);
+            discard(fresh, e);
             throw e;
         }
-        channel.close();
+        FileChannel replaced = channel;
+        // From here on the old file is nobody's, whatever becomes of closing it.
         channel = fresh;
         size = records.length;
         // Whatever was collected is told by what is live.
         batch.reset();
         stale = false;
+        close(replaced);
+    }
+
+    /** The failure that is told is the one before. */
+    private void discard(FileChannel fresh, IOException cause) {
+        close(fresh);
+        try {
+            Files.deleteIfExists(next);
+        } catch (IOException e) {
+            cause.addSuppressed(e);
+        }
     }
 
     private void tell(Replayed found) {
