--- a/src/main/java/slipfield/config/Config.java
+++ b/src/main/java/slipfield/config/Config.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import slipfield.log.Log;
+import slipfield.retry.Retry;
 import slipfield.policy.Relay;
 
 /**
@@ -35,8 +36,9 @@
     private static final double MOST_DISK_MB = 12;
 
     public static Config read(Map<String, String> env) throws IOException, BadInput {
-        JsonNode json = JsonMapper.builder().build().readTree(Files.readAllBytes(
-                Path.of(required(env, "GW_CONFIG"))));
+        Path file = Path.of(required(env, "GW_CONFIG"));
+        JsonNode json = JsonMapper.builder().build()
+                .readTree(Retry.within(Retry.START_MS, "configuration", () -> Files.readAllBytes(file)));
         Map<String, String> values = new HashMap<>();
         flatten("", json.path("settings"), values);
         Params settings = new Params(values);
--- /dev/null
+++ b/src/main/java/slipfield/core/Durability.java
@@ -0,0 +1,138 @@
+package slipfield.core;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import slipfield.journal.Held;
+import slipfield.journal.Journal;
+import slipfield.log.Log;
+
+/**
+ * Whether the journal holds all that the sender has done, and what waits until it does. While it can't be written no attempt is
+ * made, since the next life would not know of it, and no end is told that the next life could contradict by going on with the
+ * message; an end is told all the same before its client's time is over. Writing is tried again until it works. All on the event
+ * loop.
+ */
+final class Durability {
+    private static final long REPAIR_MS = 20;
+    /** Tries within one turn: a failure of one write in two is then met in one turn of eight. */
+    private static final int TRIES = 3;
+    /** An end that can't be recorded is told so long before its client's time is over: the way of a notice. */
+    private static final long TOLD_BEFORE_MS = 300;
+
+    /** What hangs on the journal. */
+    interface Effects {
+        /** Whether attempts can be recorded has changed. */
+        void recording(boolean possible);
+
+        /** This end may be told. */
+        void tell(Held ended);
+
+        /** Milliseconds since 1970, by this life's reckoning. */
+        long wallMs();
+    }
+
+    private final EventLoop loop;
+    private final Journal journal;
+    private final Predicate<Held> mayGoOn;
+    private final Effects effects;
+    /** Ended, and not told yet. */
+    private final Deque<Held> ended = new ArrayDeque<>();
+    private boolean whole = true;
+    private long brokenNanos;
+
+    /** {@code mayGoOn}: whether a next life that knows of no end would send the message again. */
+    Durability(EventLoop loop, Journal journal, Predicate<Held> mayGoOn, Effects effects) {
+        this.loop = loop;
+        this.journal = journal;
+        this.mayGoOn = mayGoOn;
+        this.effects = effects;
+    }
+
+    /** Writes what was collected; false: something of it, or from before, is not in the file. */
+    boolean flush() {
+        IOException cause = null;
+        for (int i = 0; i < TRIES; i++) {
+            try {
+                journal.flush();
+                journal.repair();
+                mended();
+                return true;
+            } catch (IOException e) {
+                cause = e;
+            }
+        }
+        Log.error("journal.turn_unwritten", "cause", cause);
+        check();
+        return false;
+    }
+
+    /** A record could not be written: it is looked after from now on. */
+    void check() {
+        if (whole && journal.isStale()) {
+            whole = false;
+            brokenNanos = System.nanoTime();
+            effects.recording(false);
+            loop.schedule(this::repair, REPAIR_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void repair() {
+        if (whole) {
+            return;
+        }
+        try {
+            journal.repair();
+            mended();
+        } catch (IOException e) {
+            Log.error("journal.still_unwritten", "for_ms", brokenMs(), "ends_held", ended.size(), "cause", e);
+            loop.schedule(this::repair, REPAIR_MS, TimeUnit.MILLISECONDS);
+        }
+        release();
+    }
+
+    private long brokenMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - brokenNanos);
+    }
+
+    private void mended() {
+        if (!whole) {
+            whole = true;
+            Log.info("journal.written_again", "after_ms", brokenMs(), "ends_held", ended.size());
+            effects.recording(true);
+        }
+    }
+
+    /** The message has ended: that is told by {@link #release}, as soon as it may be. */
+    void end(Held held) {
+        ended.add(held);
+    }
+
+    /** Tells the ends that may be told now. */
+    void release() {
+        for (int left = ended.size(); left > 0; left--) {
+            Held held = ended.remove();
+            if (!journal.isStale() || !mayGoOn.test(held) || isDue(held)) {
+                effects.tell(held);
+            } else {
+                ended.add(held);
+            }
+        }
+    }
+
+    private boolean isDue(Held held) {
+        boolean due = effects.wallMs() >= held.deadlineMs + held.reserveMs - TOLD_BEFORE_MS;
+        if (due) {
+            Log.error("message.end_told_unwritten", "message", held.id);
+        }
+        return due;
+    }
+
+    /** Ends that are not told yet. */
+    int waiting() {
+        return ended.size();
+    }
+}
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -25,6 +25,7 @@
 import slipfield.journal.Owed;
 import slipfield.log.Log;
 import slipfield.policy.Relay;
+import slipfield.retry.Retry;
 import slipfield.trace.Flow;
 import slipfield.trace.Trace;
 
@@ -87,6 +88,7 @@
     private final Trace trace = TRACED ? new Trace(System.err) : null;
     private Recovery recovery;
     private Journal journal;
+    private Durability durability;
     private Transport transport;
     private Map<String, Outcome> outcomes = Map.of();
     private Map<String, Directory> directories = Map.of();
@@ -127,7 +129,9 @@
      * each front when clients can connect to it.
      */
     public List<InetSocketAddress> start() throws IOException {
-        loop.submit(this::open).syncUninterruptibly();
+        Journal taken = Retry.within(Retry.START_MS, "journal", () -> new Journal(config.state(), config.diskBytes(),
+                config.settings().maxAttempts(), life.mark(), FileChannel::open));
+        loop.submit(() -> open(taken)).syncUninterruptibly();
         try {
             endsOut.await();
         } catch (InterruptedException e) {
@@ -142,9 +146,10 @@
         return addresses;
     }
 
-    private Void open() throws IOException {
-        journal = new Journal(config.state(), config.diskBytes(), config.settings().maxAttempts(), life.mark(),
-                FileChannel::open);
+    private Void open(Journal taken) throws IOException {
+        journal = taken;
+        durability = new Durability(loop, journal, this::mayGoOn, new Effects());
+        durability.check();
         ended = new EndedIds(parts.idsKnown());
         transport = parts.transport(loop, new Attempts());
         transport.start();
@@ -263,6 +268,7 @@
             turnOpen = false;
         }
         record();
+        durability.release();
         if (TRACED) {
             trace.leave();
             trace.enter(Trace.Part.NOTICES);
@@ -286,17 +292,42 @@
 
     /** What a turn has written is in the journal in one piece, before anything of it leaves. */
     private boolean flushed() {
-        try {
-            journal.flush();
-            return true;
-        } catch (IOException e) {
-            Log.error("journal.turn_unwritten", "cause", e);
-            return false;
-        } finally {
-            if (turnOpen) {
-                journal.begin();
-            }
+        boolean written = durability.flush();
+        if (turnOpen) {
+            journal.begin();
         }
+        return written;
+    }
+
+    /** What the state of the journal does to the rest. */
+    private final class Effects implements Durability.Effects {
+        @Override
+        public void recording(boolean possible) {
+            event(() -> relay.recording(openTurn(), possible));
+        }
+
+        @Override
+        public void tell(Held ended) {
+            owe(ended);
+        }
+
+        @Override
+        public long wallMs() {
+            return life.wallMs();
+        }
+    }
+
+    /** Whether a next life that finds the message open may send it. */
+    private boolean mayGoOn(Held held) {
+        int messageClass = config.classes().indexOf(held.messageClass);
+        boolean unsafe = messageClass < 0
+                || config.settings().classes().get(messageClass).effect() == Relay.Effect.UNSAFE;
+        return !unsafe || held.attempts.stream().allMatch(a -> a.neverRan);
+    }
+
+    private void unwritten(String event, String message, IOException cause) {
+        Log.error(event, "message", message, "cause", cause);
+        durability.check();
     }
 
     /** Writes what the turn has done so far; attempts of it that can't be recorded are not made. */
@@ -309,6 +340,7 @@
 
     /** Unrecorded an attempt could run twice: it is not made. */
     private void notMade(Held held, int attempt) {
+        Log.warn("attempt.unrecorded", "message", held.id, "attempt", attempt);
         held.attempts.get(attempt).neverRan = true;
         loop.execute(() -> attemptEnded(held, attempt, Relay.Outcome.NOT_SENT, false, 0, Relay.Told.NOTHING, 0));
     }
@@ -352,7 +384,7 @@
         try {
             journal.attempt(held, attempt);
         } catch (IOException e) {
-            Log.error("journal.attempt_unwritten", "message", held.id, "cause", e);
+            unwritten("journal.attempt_unwritten", held.id, e);
             held.attempts.add(attempt);
             notMade(held, number);
             return;
@@ -417,8 +449,7 @@
             journal.pace(new Journal.PaceOf(destination, route == Relay.SHARED ? "" : endpointIds.get(route)),
                     pace);
         } catch (IOException e) {
-            // A later life then begins with an older one, or finds it out anew.
-            Log.error("journal.pace_unwritten", "cause", e);
+            unwritten("journal.pace_unwritten", "", e);
         }
     }
 
@@ -426,8 +457,7 @@
         try {
             journal.health(endpoint, health);
         } catch (IOException e) {
-            // A later life then begins with an older state: wasteful at worst, as it finds out by itself.
-            Log.error("journal.health_unwritten", "cause", e);
+            unwritten("journal.health_unwritten", "", e);
         }
     }
 
@@ -441,10 +471,9 @@
         try {
             journal.owed(held, notice);
         } catch (IOException e) {
-            Log.error("journal.notice_unwritten", "message", held.id, "cause", e);
-            held.owed = Optional.of(notice);
+            unwritten("journal.notice_unwritten", held.id, e);
         }
-        owe(held);
+        durability.end(held);
     }
 
     /** Each claimant is told by its own outcome. */
@@ -468,8 +497,7 @@
         try {
             journal.ended(held);
         } catch (IOException e) {
-            // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
-            Log.error("journal.end_unwritten", "message", held.id, "cause", e);
+            unwritten("journal.end_unwritten", held.id, e);
         }
     }
 
@@ -516,8 +544,7 @@
                 journal.neverRan(held, attempt);
             }
         } catch (IOException e) {
-            // A later life then repeats what it may, and gives up what it may not: true, if wasteful.
-            Log.error("journal.end_unwritten", "message", held.id, "cause", e);
+            unwritten("journal.end_unwritten", held.id, e);
         }
         boolean finished = held.over;
         event(() -> relay.attemptEnded(now, new Relay.AttemptEnd(held.number, attempt, outcome, took,
@@ -558,8 +585,7 @@
         try {
             journal.heard(held, answer.claim());
         } catch (IOException e) {
-            // It is told again after a restart, which does no harm.
-            Log.error("journal.told_unwritten", "cause", e);
+            unwritten("journal.told_unwritten", held.id, e);
         }
     }
 
@@ -740,8 +766,7 @@
                 try {
                     journal.withdrawn(held);
                 } catch (IOException e) {
-                    // A later life then ends it by a notice that nobody waits for.
-                    Log.error("journal.withdrawal_unwritten", "cause", e);
+                    unwritten("journal.withdrawal_unwritten", held.id, e);
                 }
                 return;
             }
@@ -790,7 +815,7 @@
     }
 
     private int owed() {
-        return outcomes.values().stream().mapToInt(Outcome::owed).sum();
+        return durability.waiting() + outcomes.values().stream().mapToInt(Outcome::owed).sum();
     }
 
     /** Waits until the sender has ended. */
--- a/src/main/java/slipfield/journal/LifeClock.java
+++ b/src/main/java/slipfield/journal/LifeClock.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import slipfield.log.Log;
+import slipfield.retry.Retry;
 
 /**
  * The wall clock as it stood when this life began, going on evenly from there: one that is set back or on
@@ -13,6 +14,9 @@
 public final class LifeClock {
     private static final Path BOOT = Path.of("/proc/sys/kernel/random/boot_id");
 
+    /** For how long reading it is tried: a life that does not know its boot can't tell that the wall clock was set. */
+    private static final long BOOT_MS = 2000;
+
     private final long wallStart;
     private final long nanoStart;
     private final long monoStart;
@@ -31,7 +35,7 @@
         long boot = 0;
         try {
             // On Linux nanoTime counts from boot, so it goes on in the next process.
-            String id = Files.readString(BOOT).trim();
+            String id = Retry.within(BOOT_MS, "boot id", () -> Files.readString(BOOT)).trim();
             boot = Long.parseUnsignedLong(id.substring(0, 8) + id.substring(9, 13), 16);
         } catch (IOException | RuntimeException e) {
             Log.warn("clock.boot_unknown");
--- a/src/main/java/slipfield/retry/Retry.java
+++ b/src/main/java/slipfield/retry/Retry.java
@@ -1,6 +1,8 @@
 package slipfield.retry;
 
 import java.io.IOException;
+import java.nio.file.AccessDeniedException;
+import java.nio.file.NoSuchFileException;
 import java.util.concurrent.TimeUnit;
 import slipfield.log.Log;
 
@@ -26,6 +28,9 @@
         while (true) {
             try {
                 return step.run();
+            } catch (NoSuchFileException | AccessDeniedException e) {
+                // No moment's failure.
+                throw e;
             } catch (IOException e) {
                 if (System.nanoTime() >= end) {
                     throw e;
