The rig fails system calls, disks and clocks by seed, sends SIGTERM, and sees calls after an end

Of what restarts find untried the rule judges what has half of its time left, as the users' term says; all is still counted.

Measured: CheckersTest sees `after` and the term broken and kept.

--- a/src/main/java/slipfield/cli/RigCommand.java
+++ b/src/main/java/slipfield/cli/RigCommand.java
@@ -42,6 +42,9 @@
     private double rate;
     @Option(names = "--schedule", paramLabel = "FILE", description = "Plays this file in place of drawn faults.")
     private Path file;
+    @Option(names = "--calls", description = "Draws system calls that fail, clocks that are set and signals in series too. Needs a C "
+            + "compiler.")
+    private boolean withCalls;
     @Option(names = "--show", description = "Prints the schedule, and plays nothing.")
     private boolean show;
     @Option(names = "--shrink", description = "Where a rule did not hold, leaves out faults as long as it still does not, and "
@@ -72,8 +75,7 @@
         Path at = folder == null ? Files.createTempDirectory("slipfield-rig") : folder;
         int bad = 0;
         for (int i = 0; i < runs; i++) {
-            Schedule schedule = read != null ? read
-                    : Schedule.drawn(new SplittableRandom(seed + i), senders, venues, 1000L * seconds);
+            Schedule schedule = read != null ? read : draw(seed + i);
             if (show) {
                 out.print(schedule.toYaml());
             } else if (!holds(schedule, at.resolve("seed-" + (seed + i)), seed + i, out)) {
@@ -87,6 +89,12 @@
         return bad == 0 ? 0 : 1;
     }
 
+    private Schedule draw(long from) {
+        SplittableRandom random = new SplittableRandom(from);
+        return withCalls ? Schedule.drawnWithCalls(random, senders, venues, 1000L * seconds)
+                : Schedule.drawn(random, senders, venues, 1000L * seconds);
+    }
+
     private void check(boolean holds, String rule) {
         if (!holds) {
             throw new ParameterException(spec.commandLine(), rule);
--- a/src/main/java/slipfield/rig/FleetRun.java
+++ b/src/main/java/slipfield/rig/FleetRun.java
@@ -59,6 +59,8 @@
     private final List<SenderProcess> senders = new ArrayList<>();
     private final Map<Fault, List<Process>> others = new HashMap<>();
     private final Sightings record = new Sightings();
+    /** What each sender asks of its system; none where the schedule strikes nothing of it. */
+    private final List<FailingCalls> calls = new ArrayList<>();
     private final ExecutorService starts = Executors.newFixedThreadPool(STARTS_AT_ONCE);
     /** Starts that may not be over, by sender. */
     private final Map<Integer, Future<?>> starting = new HashMap<>();
@@ -111,10 +113,12 @@
         try (Network network = new Network(schedule.senders(), seed);
                 TrialWorld world = new TrialWorld(folder, size, Optional.empty(), schedule.senders(), schedule.venues(), network,
                         record)) {
+            preload(world);
             for (int i = 0; i < schedule.senders(); i++) {
-                senders.add(new SenderProcess(world.folder(i),
-                        SenderProcess.pinned(pinned ? i % Runtime.getRuntime().availableProcessors() : null),
-                        SenderProcess.SMALL));
+                List<String> wrapper = new ArrayList<>(SenderProcess.pinned(
+                        pinned ? i % Runtime.getRuntime().availableProcessors() : null));
+                wrapper.addAll(calls.isEmpty() ? List.of() : calls.get(i).wrapper());
+                senders.add(new SenderProcess(world.folder(i), wrapper, SenderProcess.SMALL));
                 start(i);
             }
             awaitStarts();
@@ -136,6 +140,16 @@
         }
     }
 
+    private void preload(TrialWorld world) throws IOException, InterruptedException {
+        if (schedule.faults().stream().noneMatch(f -> f.kind().ofCalls())) {
+            return;
+        }
+        Path library = FailingCalls.compile(folder);
+        for (int i = 0; i < schedule.senders(); i++) {
+            calls.add(new FailingCalls(library, folder.resolve("calls-" + i), world.folder(i).resolve("state")));
+        }
+    }
+
     private Result result(Network network, TrialWorld world) {
         double slowest = schedule.faults().stream().filter(f -> f.kind() == Kind.VENUE_SLOW).mapToDouble(f -> 2 * f.size()).sum();
         boolean stalls = schedule.faults().stream().anyMatch(f -> f.kind().ofProcess());
@@ -183,6 +197,7 @@
                 ends(f);
             }
         }
+        setCalls(now);
         for (Fault f : now) {
             if (!before.contains(f) && f.kind().ofProcess()) {
                 begins(f, world);
@@ -190,6 +205,46 @@
         }
     }
 
+    /** What each sender's system does from now on; a clock that was set stays so only while its fault holds. */
+    private void setCalls(Set<Fault> now) {
+        for (int i = 0; i < calls.size(); i++) {
+            FailingCalls of = calls.get(i);
+            int sender = i;
+            List<Fault> struck = now.stream().filter(f -> f.kind().ofCalls() && f.strikes(sender)).toList();
+            of.heal();
+            of.stepWallClock(0);
+            struck.forEach(f -> strike(of, f));
+        }
+    }
+
+    private static void strike(FailingCalls calls, Fault f) {
+        switch (f.kind()) {
+            case SOCKETS_FAIL -> {
+                calls.fail(FailingCalls.Call.SOCKET, FailingCalls.Errno.ENFILE, f.size());
+                calls.fail(FailingCalls.Call.CONNECT, FailingCalls.Errno.ENETUNREACH, f.size());
+                calls.fail(FailingCalls.Call.ACCEPT, FailingCalls.Errno.ENOBUFS, f.size());
+            }
+            case READS_INTERRUPTED -> {
+                calls.fail(FailingCalls.Call.SOCKET_READ, FailingCalls.Errno.EINTR, f.size() / 2);
+                calls.fail(FailingCalls.Call.SOCKET_WRITE, FailingCalls.Errno.EINTR, f.size() / 2);
+            }
+            case READS_SHORT -> {
+                calls.shorten(FailingCalls.Call.SOCKET_READ, f.size());
+                calls.shorten(FailingCalls.Call.SOCKET_WRITE, f.size());
+                calls.shorten(FailingCalls.Call.FILE_WRITE, f.size());
+            }
+            case DISK_FAIL -> {
+                calls.fail(FailingCalls.Call.FILE_WRITE, FailingCalls.Errno.ENOSPC, f.size());
+                calls.fail(FailingCalls.Call.FILE_TRUNCATE, FailingCalls.Errno.EIO, f.size());
+                calls.fail(FailingCalls.Call.FILE_RENAME, FailingCalls.Errno.EIO, f.size());
+                calls.fail(FailingCalls.Call.FILE_CLOSE, FailingCalls.Errno.EIO, f.size());
+                calls.fail(FailingCalls.Call.FILE_SYNC, FailingCalls.Errno.EIO, f.size());
+            }
+            case CLOCK_AHEAD -> calls.stepWallClock((long) f.size());
+            default -> calls.stepWallClock((long) -f.size());
+        }
+    }
+
     private static boolean any(Set<Fault> now, Kind kind, int venue) {
         return now.stream().anyMatch(f -> f.kind() == kind && (f.others().isEmpty() || f.others().contains(venue)));
     }
@@ -211,6 +266,10 @@
                     }
                 }
                 case STOP -> senders.get(i).stop();
+                case TERM -> {
+                    awaitStart(i);
+                    senders.get(i).terminate();
+                }
                 default -> {
                     List<Process> wanting = others.computeIfAbsent(f, all -> new ArrayList<>());
                     for (int k = 0; k < (int) f.size(); k++) {
@@ -230,6 +289,11 @@
             }
             switch (f.kind()) {
                 case KILL, LOSE -> start(i);
+                case TERM -> {
+                    senders.get(i).kill();
+                    record.saw(What.ENDED, "", i, -1, -1);
+                    start(i);
+                }
                 case STOP -> senders.get(i).go();
                 default -> others.getOrDefault(f, List.of()).forEach(Process::destroy);
             }
--- a/src/main/java/slipfield/rig/check/Checkers.java
+++ b/src/main/java/slipfield/rig/check/Checkers.java
@@ -30,6 +30,7 @@
         Map<String, Rule> rules = new LinkedHashMap<>();
         rules.put("lost", Checkers::lost);
         rules.put("ends", Checkers::ends);
+        rules.put("after", Checkers::afterItsEnd);
         rules.put("untried", Untried::check);
         rules.put("doubled", Checkers::doubled);
         rules.put("drain", Checkers::drain);
@@ -86,6 +87,22 @@
         }
     }
 
+    /** Nothing is sent for an order whose end the platform was told; what was under way then still arrives. */
+    private static void afterItsEnd(List<Event> record, Bounds bounds, List<Violation> found) {
+        Map<String, Event> ended = new HashMap<>();
+        for (Event e : record) {
+            if (e.what() == What.TOLD_REFUSED || e.what() == What.TOLD_FAILED) {
+                ended.putIfAbsent(e.order(), e);
+            }
+            Event end = ended.get(e.order());
+            if (comes(e) && end != null && e.atMs() > end.atMs() + bounds.graceMs()) {
+                found.add(new Violation("after", e.atMs(), String.format(Locale.ROOT,
+                        "%s came to venue %d %.0f ms after its end, %s, was told", e.order(), e.venue(), e.atMs() - end.atMs(),
+                        end.what())));
+            }
+        }
+    }
+
     /** What must not run twice did not; what may, within its window; and nothing that ran is given back as harmless. */
     private static void doubled(List<Event> record, Bounds bounds, List<Violation> found) {
         Map<String, Event> first = new HashMap<>();
--- a/src/main/java/slipfield/rig/check/Untried.java
+++ b/src/main/java/slipfield/rig/check/Untried.java
@@ -22,9 +22,16 @@
 public record Untried(int sender, double backMs, int found, int called, int givenUp) {
     /** Over all restarts of a run, fewer than this tell nothing: one venue that is away at the wrong moment would be a verdict. */
     private static final int FEW = 8;
+    /** The rule counts what has half of its time left when the sender is back: less may not be enough for any call. */
+    private static final double LEAST_LEFT = 0.5;
 
     /** Each restart in a record, which may be in any order. */
     public static List<Untried> count(List<Event> sightings) {
+        return count(sightings, 0);
+    }
+
+    /** The same of those orders alone that have more than this share of their time left when the sender is back. */
+    static List<Untried> count(List<Event> sightings, double leastLeft) {
         List<Event> record = sightings.stream().sorted(Comparator.comparingDouble(Event::atMs)).toList();
         Map<String, Event> handedIn = new HashMap<>();
         Map<String, Double> taken = new HashMap<>();
@@ -59,7 +66,7 @@
                 return in != null && in.sender() == e.sender() && taken.get(order) <= ended
                         && seen.getOrDefault(order, Double.POSITIVE_INFINITY) > ended
                         && over.getOrDefault(order, Double.POSITIVE_INFINITY) > ended
-                        && in.atMs() + in.value() > e.atMs();
+                        && in.atMs() + (1 - leastLeft) * in.value() > e.atMs();
             }).toList();
             restarts.add(new Untried(e.sender(), e.atMs(), found.size(), (int) found.stream().filter(seen::containsKey).count(),
                     (int) found.stream().filter(order -> told.contains(order) && !seen.containsKey(order)).count()));
@@ -69,7 +76,7 @@
 
     /** Giving up over half of what a run's restarts found, with no call, fails it. */
     static void check(List<Event> record, Bounds bounds, List<Violation> violations) {
-        List<Untried> restarts = count(record);
+        List<Untried> restarts = count(record, LEAST_LEFT);
         int found = restarts.stream().mapToInt(Untried::found).sum();
         int givenUp = restarts.stream().mapToInt(Untried::givenUp).sum();
         if (found >= FEW && 2 * givenUp > found) {
--- a/src/main/java/slipfield/rig/plan/Schedule.java
+++ b/src/main/java/slipfield/rig/plan/Schedule.java
@@ -1,6 +1,7 @@
 package slipfield.rig.plan;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -31,6 +32,14 @@
     private static final double QUIET_END = 0.75;
     private static final long SHORTEST_MS = 300;
     private static final long LONGEST_MS = 6000;
+    /** SIGKILL comes no sooner after SIGTERM, by the protocol. */
+    private static final long TERM_MS = 3700;
+    private static final double CLOCK_HOUR_MS = 3_600_000;
+    /** What is drawn where calls of senders may fail too. */
+    private static final List<Kind> WITH_CALLS = List.of(Kind.SOCKETS_FAIL, Kind.READS_INTERRUPTED, Kind.READS_SHORT,
+            Kind.DISK_FAIL, Kind.DISK_FAIL, Kind.CLOCK_AHEAD, Kind.CLOCK_BEHIND, Kind.KILL, Kind.KILL, Kind.TERM, Kind.VENUE_DOWN,
+            Kind.VENUE_REFUSE, Kind.VENUE_RESET, Kind.VENUE_DRAIN, Kind.AGENT_SILENT);
+
     /** Checks its bounds, and that each fault names what there is. */
     public Schedule {
         if (senders < 1 || senders > MOST_SENDERS || venues < 1 || venues > MOST_VENUES || lengthMs < LEAST_MS
@@ -56,12 +65,21 @@
 
     /** A run of this size with faults drawn from a generator. A process that is down is not struck again meanwhile. */
     public static Schedule drawn(RandomGenerator random, int senders, int venues, long lengthMs) {
+        return drawn(random, senders, venues, lengthMs,
+                Arrays.stream(Kind.values()).filter(kind -> !kind.ofCalls() && kind != Kind.TERM).toList());
+    }
+
+    /** The same with system calls that fail, clocks that are set, and signals in series. */
+    public static Schedule drawnWithCalls(RandomGenerator random, int senders, int venues, long lengthMs) {
+        return drawn(random, senders, venues, lengthMs, WITH_CALLS);
+    }
+
+    private static Schedule drawn(RandomGenerator random, int senders, int venues, long lengthMs, List<Kind> kinds) {
         List<Fault> faults = new ArrayList<>();
         Map<Integer, Long> downUntil = new HashMap<>();
-        Kind[] kinds = Kind.values();
         long last = (long) (lengthMs * QUIET_END);
         for (long at = DRAWN_EACH_MS / 2; at < last; at += DRAWN_EACH_MS / 2 + random.nextLong(DRAWN_EACH_MS)) {
-            Kind kind = kinds[random.nextInt(kinds.length)];
+            Kind kind = kinds.get(random.nextInt(kinds.size()));
             long most = Math.min(LONGEST_MS, last - at);
             if (most < SHORTEST_MS || kind.betweenSenders() && senders < 2) {
                 continue;
@@ -74,7 +92,11 @@
                     continue;
                 }
             }
-            long length = SHORTEST_MS + random.nextLong(most - SHORTEST_MS + 1);
+            long drawn = SHORTEST_MS + random.nextLong(most - SHORTEST_MS + 1);
+            long length = kind == Kind.TERM ? TERM_MS : drawn;
+            if (length > most) {
+                continue;
+            }
             if (kind.ofProcess()) {
                 // Its start takes a while too.
                 struck.forEach(s -> downUntil.put(s, begin + length + LONGEST_MS));
@@ -103,6 +125,8 @@
             case VENUE_NARROW -> 2000 + random.nextInt(30_000);
             case NOTES_LOST, NOTES_DOUBLED -> (1 + random.nextInt(9)) / 10.0;
             case STARVE -> 2 + random.nextInt(5);
+            case SOCKETS_FAIL, READS_INTERRUPTED, READS_SHORT, DISK_FAIL -> (2 + random.nextInt(9)) / 10.0;
+            case CLOCK_AHEAD, CLOCK_BEHIND -> random.nextBoolean() ? 1000 + random.nextInt(9000) : CLOCK_HOUR_MS;
             default -> 0;
         };
     }
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -66,6 +66,11 @@
         life.kill();
     }
 
+    /** SIGTERM: it ends in its own time. */
+    public void terminate() throws IOException, InterruptedException {
+        life.signal("TERM");
+    }
+
     /** SIGSTOP: it does nothing until {@link #go}. */
     public void stop() throws IOException, InterruptedException {
         life.signal("STOP");
--- a/src/test/java/slipfield/rig/check/CheckersTest.java
+++ b/src/test/java/slipfield/rig/check/CheckersTest.java
@@ -49,6 +49,16 @@
         assertEquals(List.of(), broken());
     }
 
+    @Test
+    void aCallThatBeginsAfterItsOrdersEndIsSeen() {
+        order("a");
+        saw(50, What.TOLD_REFUSED, "a", -1, -1, -1);
+        saw(149, What.UNSERVED, "a", 0, 0, -1);
+        assertEquals(List.of(), broken(), "it was under way");
+        saw(151, What.UNSERVED, "a", 0, 0, -1);
+        assertEquals(List.of("after"), broken());
+    }
+
     @Test
     void twoEndsThatSayDifferentThings() {
         order("a");
@@ -104,6 +114,19 @@
         assertEquals(List.of("untried"), broken());
     }
 
+    /** The users' term counts what has half of its time left: 5000 ms from about 0 on, less than half at 2600. */
+    @Test
+    void whatARestartFindsTooLateForTheTermIsCountedAndNotJudged() {
+        restart(6, 8);
+        record.removeIf(e -> e.what() == What.BACK);
+        saw(1990, What.BACK, "", 1, -1, -1);
+        assertEquals(List.of("untried"), broken());
+        record.removeIf(e -> e.what() == What.BACK);
+        saw(2600, What.BACK, "", 1, -1, -1);
+        assertEquals(14, Untried.count(record).get(0).found());
+        assertEquals(List.of(), broken());
+    }
+
     @Test
     void whatRanIsNotRefused() {
         order("a");
