The cold ramp may use up its own safety for a told limit, and ends when the endpoint is surely warm

Cause: a limit counted as 1.3 times what was seen, though the safety of 0.66 leaves 1.5 before the budget is used up, and the ramp went on for a span of 1.5 s in which the endpoint is warm and falls no more.

Change: a limit counts as 1 / 0.66 of what was seen at most, and the ramp ends a warm-up after the first answer.

--- a/src/main/java/slipfield/policy/Logic.java
+++ b/src/main/java/slipfield/policy/Logic.java
@@ -122,8 +122,8 @@
      */
     private static final double RAMP_SAFETY = 0.66;
     private static final double TRIAL_SAFETY = 0.45;
-    /** A told limit counts as so many times what was carried or asked for at most. */
-    private static final double LIMIT_OVER_SEEN = 1.3;
+    /** A told limit may use up the ramp's safety over what was carried or asked for, and no more. */
+    private static final double LIMIT_OVER_SEEN = 1 / RAMP_SAFETY;
     /** Time over which an endpoint's carried rate is averaged, and the shortest that counts. */
     private static final double CARRIED_MS = 10_000;
     /** Share of the messages taken for a destination that it is trusted to carry, if it was not seen to. */
@@ -1068,16 +1068,11 @@
                     bad(BAD_WEIGHT, "loses calls");
                 }
             }
-            if (state == State.WARMING && clock - answeredAt >= coldMs()) {
+            if (state == State.WARMING && clock - answeredAt >= settings.coldStart().warmMs()) {
                 up("is warm");
             }
         }
 
-        /** From its first answer until no span that the rule counts reaches back into its cold time. */
-        private double coldMs() {
-            return settings.coldStart().warmMs() + settings.coldStart().overloadMs();
-        }
-
         private void good(Call call, AttemptEnd end) {
             // No outage that would leave it cold fits between deliveries so close together.
             boolean blip = !failing && clock - lastGood < SHUT_MS;
