The rig's rule on cold returns counts senders that saw a call fail, not those whose calls were still out

In the suite's test the venue is away for 1500 ms, calls time out after 2500. Cause: the rig took a sender to have met an outage as soon as a call of its had arrived unserved, which the sender can't know. The users' rule counts those that "had seen a call or a probe fail, or be refused, there during the outage". Ruled out: starved senders that catch up (the calls are evenly spread), and the ramp (nobody was on one).

Change: a venue tells GIVEN_UP when the connection of a call that it left unserved ends; a sender has met an outage if that was before the return. What is judged less: outages that nobody could have seen. What restarts find untried is still tested with one of 4 s.

--- a/src/main/java/slipfield/standin/Venue.java
+++ b/src/main/java/slipfield/standin/Venue.java
@@ -130,9 +130,9 @@
         String order = request.headers().get("X-Call-Id", "");
         String key = request.headers().get("Idempotency-Key", "");
         switch (mood) {
-            case SILENT -> ledger.witness().saw(Witness.What.UNSERVED, order, sender, number, -1);
+            case SILENT -> unserved(channel, order, sender);
             case RESET -> {
-                ledger.witness().saw(Witness.What.UNSERVED, order, sender, number, -1);
+                unserved(channel, order, sender);
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
                 channel.close();
             }
@@ -166,6 +166,12 @@
         }
     }
 
+    private void unserved(Channel channel, String order, int sender) {
+        ledger.witness().saw(Witness.What.UNSERVED, order, sender, number, -1);
+        channel.closeFuture().addListener(
+                closed -> ledger.witness().saw(Witness.What.GIVEN_UP, order, sender, number, -1));
+    }
+
     private void delivered(Channel channel, String order) {
         HttpServer.answer(channel, 200, "").addListener(f -> {
             if (f.isSuccess()) {
