--- a/src/main/java/slipfield/config/package-info.java
+++ b/src/main/java/slipfield/config/package-info.java
@@ -1,5 +1,5 @@
 /**
  * What a sender is told by its environment and its configuration, read and checked. May use {@code policy}, whose
- * settings it makes, and {@code log}.
+ * settings it makes, {@code log} and {@code retry}.
  */
 package slipfield.config;
