--- a/src/main/java/slipfield/core/Durability.java
+++ b/src/main/java/slipfield/core/Durability.java
@@ -43,6 +43,7 @@
     private final Deque<Held> ended = new ArrayDeque<>();
     private boolean whole = true;
     private long brokenNanos;
+    private long triedNanos;
 
     /** {@code mayGoOn}: whether a next life that knows of no end would send the message again. */
     Durability(EventLoop loop, Journal journal, Predicate<Held> mayGoOn, Effects effects) {
@@ -54,6 +55,11 @@
 
     /** Writes what was collected; false: something of it, or from before, is not in the file. */
     boolean flush() {
+        if (!whole && System.nanoTime() - triedNanos < TimeUnit.MILLISECONDS.toNanos(REPAIR_MS)) {
+            // Each try writes all that is held: not one in every turn.
+            journal.discard();
+            return false;
+        }
         IOException cause = null;
         for (int i = 0; i < TRIES; i++) {
             try {
@@ -65,6 +71,7 @@
                 cause = e;
             }
         }
+        triedNanos = System.nanoTime();
         Log.error("journal.turn_unwritten", "cause", cause);
         check();
         return false;
@@ -88,6 +95,7 @@
             journal.repair();
             mended();
         } catch (IOException e) {
+            triedNanos = System.nanoTime();
             Log.error("journal.still_unwritten", "for_ms", brokenMs(), "ends_held", ended.size(), "cause", e);
             loop.schedule(this::repair, REPAIR_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -336,6 +336,13 @@
         }
     }
 
+    /** Drops what was collected: memory holds it, and the file is stale. */
+    public void discard() {
+        batching = false;
+        stale |= batch.size() > 0;
+        batch.reset();
+    }
+
     private void writeRecord(byte[] record) throws IOException {
         if (stale || size + kept.bytes() + 2L * record.length > bound) {
             compact();
