--- a/src/main/java/slipfield/socket/Connector.java
+++ b/src/main/java/slipfield/socket/Connector.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
+import java.nio.channels.ClosedChannelException;
 
 /**
  * Connects, and tells the outcome once, on the event loop, never inside the call. Where no socket can be opened Netty's future
@@ -28,10 +29,13 @@
     public static void connect(Bootstrap bootstrap, EventLoop loop, SocketAddress address, Listener listener) {
         ChannelFuture connecting = bootstrap.connect(address);
         connecting.addListener(done -> loop.execute(() -> {
-            if (connecting.isSuccess()) {
+            if (!connecting.isSuccess()) {
+                listener.failed(connecting.cause());
+            } else if (connecting.channel().isActive()) {
                 listener.connected(connecting.channel());
             } else {
-                listener.failed(connecting.cause());
+                // Its pipeline is empty by now.
+                listener.failed(new ClosedChannelException());
             }
         }));
     }
