--- a/src/main/java/slipfield/policy/Logic.java
+++ b/src/main/java/slipfield/policy/Logic.java
@@ -122,6 +122,8 @@
      */
     private static final double RAMP_SAFETY = 0.66;
     private static final double TRIAL_SAFETY = 0.45;
+    /** A told limit counts as so many times what was carried or asked for at most. */
+    private static final double LIMIT_OVER_SEEN = 1.3;
     /** Time over which an endpoint's carried rate is averaged, and the shortest that counts. */
     private static final double CARRIED_MS = 10_000;
     /** Share of the messages taken for a destination that it is trusted to carry, if it was not seen to. */
@@ -929,7 +931,10 @@
         final Rate carried = new Rate();
         /** The same before an outage that an earlier life saw. */
         double carriedBefore;
+        /** About when it came back. */
         double warmSince;
+        /** Its first answer since it was down: it came back no later. */
+        double answeredAt;
         double downAt;
         boolean silentOnly;
         /** Since it is down it has failed or refused calls, not only connections. */
@@ -1035,11 +1040,13 @@
         /** Pace while down or warming: the rule's budget, shared as the load was shared before. */
         double allowedRate() {
             ColdStart cold = settings.coldStart();
-            double warm = state == State.DOWN ? 0 : (clock - warmSince) / cold.warmMs();
+            double warm = state == State.DOWN ? 0 : Math.min(1, (clock - warmSince) / cold.warmMs());
             double capacity = cold.startCapacity() + (1 - cold.startCapacity()) * warm;
             double asked = destination.demand.perMs() / destination.serving() * DEMAND_SHARE;
             double part = limit.evenPart() / (limit == destination.shared ? destination.serving() : 1);
-            double known = Math.max(Math.max(carried.perMs(), carriedBefore), Math.max(asked, part));
+            double seen = Math.max(Math.max(carried.perMs(), carriedBefore), asked);
+            // A limit may lie far above what it can do.
+            double known = seen == 0 ? part : Math.max(seen, Math.min(part, LIMIT_OVER_SEEN * seen));
             double safety = state == State.DOWN ? TRIAL_SAFETY : RAMP_SAFETY;
             double rate = safety * cold.overloadMultiple() * capacity * known;
             double least = 1 / Math.min(TRIAL_LEAST_MS * settings.senders(), TRIAL_MOST * cold.warmMs());
@@ -1061,11 +1068,16 @@
                     bad(BAD_WEIGHT, "loses calls");
                 }
             }
-            if (state == State.WARMING && clock - warmSince >= settings.coldStart().warmMs()) {
+            if (state == State.WARMING && clock - answeredAt >= coldMs()) {
                 up("is warm");
             }
         }
 
+        /** From its first answer until no span that the rule counts reaches back into its cold time. */
+        private double coldMs() {
+            return settings.coldStart().warmMs() + settings.coldStart().overloadMs();
+        }
+
         private void good(Call call, AttemptEnd end) {
             // No outage that would leave it cold fits between deliveries so close together.
             boolean blip = !failing && clock - lastGood < SHUT_MS;
@@ -1088,6 +1100,7 @@
                 // Back since its last trial, in the mean halfway: thin traffic tries every few seconds.
                 warmSince = clock - Math.min(clock - fruitlessAt, settings.coldStart().warmMs()) / 2;
                 latency = end.tookMs();
+                answeredAt = clock;
                 nextAt = clock + 1 / allowedRate();
                 actions.log("endpoint " + entry.id() + " answers again, warming");
                 remember();
@@ -1159,6 +1172,7 @@
             carriedBefore = health.carriedPerMs();
             if (state == State.WARMING) {
                 warmSince = health.since();
+                answeredAt = warmSince;
             }
             if (state != State.UP) {
                 nextAt = clock + random.nextDouble() / allowedRate();
--- a/src/test/java/slipfield/policy/FleetTest.java
+++ b/src/test/java/slipfield/policy/FleetTest.java
@@ -184,6 +184,29 @@
         return d;
     }
 
+    /** The limit that answers tell is twice what the destination can do; the budget counts what it can do. */
+    @ParameterizedTest
+    @CsvSource({"1, 10, 0.9", "1, 22, 0.5", "1, 22, 0.9", "1, 60, 0.5", "2, 22, 0.9", "3, 60, 0.9", "6, 60, 0.5", "6, 60, 0.9"})
+    void aColdReturnIsNotPushedOverWhereALimitIsAboveWhatItCanDo(int senders, double capacity, double load) {
+        for (long seed = 1; seed <= 2 * SEEDS; seed++) {
+            FleetBench fleet = new FleetBench(seed);
+            Destination d = fleet.destination(Counts.RATE, 2 * capacity);
+            fleet.senders(senders, senders).offer(d, load * capacity, 0, 34_000);
+            fleet.at(10_000, () -> d.down = true);
+            fleet.at(15_000, () -> {
+                d.down = false;
+                d.coldSince = 15_000;
+            });
+            fleet.until(34_000);
+            for (double at = 15_000; at < 27_000; at += 50) {
+                double budget = 2 * 1.5 * capacity * (0.2 + 0.8 * (at - 15_000) / 12_000);
+                double most = budget < 30 ? budget + 3 * Math.sqrt(budget) + 3 : budget + 2 * Math.sqrt(budget) + 2;
+                long sent = d.calls(at, at + 1500);
+                assertTrue(sent <= most, sent + " calls from " + at + ", " + most + " at most, seed " + seed);
+            }
+        }
+    }
+
     /** Thin traffic: one message every ten seconds from each sender, with an outage of a minute in between. */
     @Test
     void thinTrafficIsDeliveredAndComesBackAfterAnOutage() {
