--- a/src/main/java/slipfield/cli/Folders.java
+++ b/src/main/java/slipfield/cli/Folders.java
@@ -12,6 +12,14 @@
     private Folders() {
     }
 
+    /** Whether nothing is in it. */
+    static boolean isEmpty(Path folder) throws IOException {
+        try (Stream<Path> inside = Files.list(folder)) {
+            return inside.findAny().isEmpty();
+        }
+    }
+
+    /** Deletes it with all that is in it. */
     static void delete(Path folder) throws IOException {
         List<Path> all;
         try (Stream<Path> walk = Files.walk(folder)) {
--- a/src/main/java/slipfield/cli/RigCommand.java
+++ b/src/main/java/slipfield/cli/RigCommand.java
@@ -51,7 +51,7 @@
             + "prints what is left.")
     private boolean shrink;
     @Option(names = "--folder", paramLabel = "FOLDER", description = "Where schedules, journals and logs go. Default: a new "
-            + "folder; a run in which all rules held is deleted there.")
+            + "folder; a run in which all rules held and every end was in time is deleted there.")
     private Path folder;
 
     @Override
@@ -83,7 +83,7 @@
             }
             out.flush();
         }
-        if (bad == 0 && folder == null) {
+        if (folder == null && Folders.isEmpty(at)) {
             Folders.delete(at);
         }
         return bad == 0 ? 0 : 1;
@@ -112,14 +112,17 @@
         out.printf(Locale.ROOT, "  %d restarts found %d orders untried: %d were called since, %d given up with no call%n", restarts.size(),
                 restarts.stream().mapToInt(Untried::found).sum(), restarts.stream().mapToInt(Untried::called).sum(),
                 restarts.stream().mapToInt(Untried::givenUp).sum());
-        if (result.holds()) {
+        if (result.holds() && !result.endedLate()) {
             Folders.delete(at);
             return true;
         }
         result.violations().stream().limit(10).forEach(v -> out.printf(Locale.ROOT, "  %s at %.0f ms: %s%n", v.rule(), v.atMs(),
                 v.shownBy()));
-        out.println("  schedule, journals and logs are in " + at);
+        out.println("  schedule, journals, logs and what was seen are in " + at);
         out.flush();
+        if (result.holds()) {
+            return true;
+        }
         if (shrink) {
             int[] tried = {0};
             Schedule least = schedule.shrunk(fewer -> fails(fewer, at.resolve("shrunk-" + tried[0]++), drawnFrom));
--- a/src/main/java/slipfield/rig/FleetRun.java
+++ b/src/main/java/slipfield/rig/FleetRun.java
@@ -77,6 +77,11 @@
      */
     public record Result(Ledger.Account account, List<Violation> violations, List<Event> record, long notes,
             long notesTooLong, long latestMs) {
+        /** Whether an end came later than the rules allow a sender that was never stopped or away. */
+        public boolean endedLate() {
+            return latestMs > LATE_MS;
+        }
+
         /** Whether all rules held, and every order has its end. */
         public boolean holds() {
             return violations.isEmpty() && account.holds() && notesTooLong == 0;
@@ -150,14 +155,26 @@
         }
     }
 
-    private Result result(Network network, TrialWorld world) {
+    private Result result(Network network, TrialWorld world) throws IOException {
         double slowest = schedule.faults().stream().filter(f -> f.kind() == Kind.VENUE_SLOW).mapToDouble(f -> 2 * f.size()).sum();
         boolean stalls = schedule.faults().stream().anyMatch(f -> f.kind().ofProcess());
         List<Violation> found = new ArrayList<>(Checkers.check(record.events(), bounds(slowest)));
         // A process that is stopped, starved or away ends what ran out of time meanwhile when it is back: late, but once.
         found.removeIf(v -> stalls && v.rule().equals("lost") && v.shownBy().contains(" after its time"));
-        return new Result(world.ledger().account(), found, record.events(), network.notes().passed(), network.notes().tooLong(),
-                world.ledger().latestMs());
+        Result result = new Result(world.ledger().account(), found, record.events(), network.notes().passed(),
+                network.notes().tooLong(), world.ledger().latestMs());
+        keep(result);
+        return result;
+    }
+
+    /** What the run showed, beside logs and journals: whoever deletes the folder knows that nothing in it is needed. */
+    private void keep(Result result) throws IOException {
+        List<String> lines = new ArrayList<>();
+        lines.add(result.account().toString());
+        result.violations().forEach(violation -> lines.add(violation.toString()));
+        lines.add("milliseconds are since " + record.since());
+        result.record().forEach(event -> lines.add(event.toString()));
+        Files.write(folder.resolve("seen.txt"), lines);
     }
 
     /** Faults as they come, by the time since the orders began. */
--- a/src/main/java/slipfield/rig/Sightings.java
+++ b/src/main/java/slipfield/rig/Sightings.java
@@ -1,5 +1,6 @@
 package slipfield.rig;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import slipfield.rig.check.Event;
@@ -8,6 +9,7 @@
 /** All that the parties of a run saw, with its time from the start of the run. Any thread writes to it. */
 final class Sightings implements Witness {
     private final long startNanos = System.nanoTime();
+    private final Instant since = Instant.now();
     private final ConcurrentLinkedQueue<Event> events = new ConcurrentLinkedQueue<>();
 
     @Override
@@ -15,6 +17,11 @@
         events.add(new Event(nowMs(), what, order, sender, venue, value));
     }
 
+    /** When the run began, by the wall clock. */
+    Instant since() {
+        return since;
+    }
+
     double nowMs() {
         return (System.nanoTime() - startNanos) / 1e6;
     }
--- a/src/main/java/slipfield/standin/Ledger.java
+++ b/src/main/java/slipfield/standin/Ledger.java
@@ -1,6 +1,8 @@
 package slipfield.standin;
 
+import java.time.Instant;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -36,6 +38,9 @@
     static final class Order {
         private final String id;
         private final Effect effect;
+        private final int sender;
+        private final Instant handedInAt = Instant.now();
+        private Instant heardAt = Instant.EPOCH;
         private final long sentNanos = System.nanoTime();
         private final long budgetNanos;
         private Heard heard = Heard.NOTHING;
@@ -46,15 +51,32 @@
         private boolean failed;
         private boolean ended;
 
-        Order(String id, Effect effect, long budgetMs) {
+        Order(String id, Effect effect, long budgetMs, int sender) {
             this.id = id;
             this.effect = effect;
+            this.sender = sender;
             this.budgetNanos = TimeUnit.MILLISECONDS.toNanos(budgetMs);
         }
 
         synchronized boolean isOpen() {
             return heard == Heard.TAKEN && !ended;
         }
+
+        private synchronized MissingOrder missing() {
+            return new MissingOrder(id, sender, handedInAt, heardAt, runs);
+        }
+    }
+
+    /**
+     * An order that was taken and has no end, so that it can be found in logs and journals.
+     *
+     * @param id the id of its hand-in
+     * @param sender the number of the sender that it was handed in to; -1: not known
+     * @param handedInAt when it was handed in, by the wall clock
+     * @param heardAt when its desk heard that it is taken
+     * @param runs how often a venue had it
+     */
+    public record MissingOrder(String id, int sender, Instant handedInAt, Instant heardAt, int runs) {
     }
 
     /**
@@ -70,9 +92,16 @@
      * @param lost taken, and without an end
      * @param doubled ran twice against their class, or given back though they had run
      * @param repeats runs that venues dropped by their key
+     * @param missing the lost ones, in the order of their hand-in
      */
     public record Account(long handedIn, long taken, long turnedAway, long unheard, long delivered, long refused,
-            long failed, long lost, long doubled, long repeats) {
+            long failed, long lost, long doubled, long repeats, List<MissingOrder> missing) {
+        /** The same where no order is missing. */
+        public Account(long handedIn, long taken, long turnedAway, long unheard, long delivered, long refused, long failed,
+                long lost, long doubled, long repeats) {
+            this(handedIn, taken, turnedAway, unheard, delivered, refused, failed, lost, doubled, repeats, List.of());
+        }
+
         /** Whether every order that was taken has exactly one end, and none ran against its class. */
         public boolean holds() {
             return lost == 0 && doubled == 0 && taken == delivered + refused + failed;
@@ -119,7 +148,7 @@
 
     /** The same, handed in to the sender of this number. */
     void handedIn(String id, Effect effect, long budgetMs, int sender) {
-        orders.put(id, new Order(id, effect, budgetMs));
+        orders.put(id, new Order(id, effect, budgetMs, sender));
         witness.saw(Witness.What.HANDED_IN, id, sender, -1, budgetMs);
     }
 
@@ -127,6 +156,7 @@
         Order order = orders.get(id);
         synchronized (order) {
             order.heard = taken ? Heard.TAKEN : Heard.TURNED_AWAY;
+            order.heardAt = Instant.now();
         }
         witness.saw(taken ? Witness.What.HEARD_TAKEN : Witness.What.HEARD_REFUSED, id, -1, -1, -1);
     }
@@ -273,7 +303,9 @@
                 count(order, n);
             }
         }
-        return new Account(n[0], n[1], n[2], n[3], n[4], n[5], n[6], n[7], n[8], n[9]);
+        List<MissingOrder> missing = all.stream().filter(Order::isOpen).map(Order::missing)
+                .sorted(Comparator.comparing(MissingOrder::handedInAt)).toList();
+        return new Account(n[0], n[1], n[2], n[3], n[4], n[5], n[6], n[7], n[8], n[9], missing);
     }
 
     private static void count(Order order, long[] n) {
--- a/src/test/java/slipfield/standin/LedgerTest.java
+++ b/src/test/java/slipfield/standin/LedgerTest.java
@@ -44,6 +44,17 @@
         assertFalse(ledger.allEnded());
     }
 
+    /** Guards against a count of lost orders that can't be looked up in any log. */
+    @Test
+    void theAccountNamesWhatIsLost() {
+        ledger.handedIn("o-7", Ledger.Effect.ONCE, 20_000, 3);
+        ledger.heard("o-7", true);
+        Ledger.MissingOrder missing = ledger.account().missing().get(0);
+        assertEquals("o-7", missing.id());
+        assertEquals(3, missing.sender());
+        assertFalse(missing.heardAt().isBefore(missing.handedInAt()));
+    }
+
     @Test
     void whatMustNotRunTwiceAndDoesIsDoubled() {
         taken("one", Ledger.Effect.ONCE);
