The rig judges untried orders by the users' "early", the unsafe ones alone, and late ends

The rule's reading. The latest ends were due while their sender was dead. Ruled out: the order of taking up, and a late end in service.

Change, narrower in one point and stricter in three. Orders that must not run twice are judged alone too. A late end is excused only where its sender was away when it was due, no longer by any kill at any time; SIGTERM, SIGSTOP and SIGCONT are sighted for that. Three tests in CheckersTest, each with a record that breaks the rule; those that were there are as they were.

CheckersTest passes.

--- a/src/main/java/slipfield/rig/FleetRun.java
+++ b/src/main/java/slipfield/rig/FleetRun.java
@@ -157,10 +157,10 @@
 
     private Result result(Network network, TrialWorld world) throws IOException {
         double slowest = schedule.faults().stream().filter(f -> f.kind() == Kind.VENUE_SLOW).mapToDouble(f -> 2 * f.size()).sum();
-        boolean stalls = schedule.faults().stream().anyMatch(f -> f.kind().ofProcess());
+        boolean starved = schedule.faults().stream().anyMatch(f -> f.kind() == Kind.STARVE);
         List<Violation> found = new ArrayList<>(Checkers.check(record.events(), bounds(slowest)));
-        // A process that is stopped, starved or away ends what ran out of time meanwhile when it is back: late, but once.
-        found.removeIf(v -> stalls && v.rule().equals("lost") && v.shownBy().contains(" after its time"));
+        // A process that gets too little of a core ends what ran out of time meanwhile late, but once.
+        found.removeIf(v -> starved && v.rule().equals("lost") && v.shownBy().contains(" after it was due"));
         Result result = new Result(world.ledger().account(), found, record.events(), network.notes().passed(),
                 network.notes().tooLong(), world.ledger().latestMs());
         keep(result);
@@ -282,9 +282,13 @@
                         empty(world.folder(i).resolve("state"));
                     }
                 }
-                case STOP -> senders.get(i).stop();
+                case STOP -> {
+                    record.saw(What.PAUSED, "", i, -1, -1);
+                    senders.get(i).stop();
+                }
                 case TERM -> {
                     awaitStart(i);
+                    record.saw(What.TERMINATED, "", i, -1, -1);
                     senders.get(i).terminate();
                 }
                 default -> {
@@ -311,7 +315,10 @@
                     record.saw(What.ENDED, "", i, -1, -1);
                     start(i);
                 }
-                case STOP -> senders.get(i).go();
+                case STOP -> {
+                    senders.get(i).go();
+                    record.saw(What.CONTINUED, "", i, -1, -1);
+                }
                 default -> others.getOrDefault(f, List.of()).forEach(Process::destroy);
             }
         }
--- a/src/main/java/slipfield/standin/Ledger.java
+++ b/src/main/java/slipfield/standin/Ledger.java
@@ -150,6 +150,9 @@
     void handedIn(String id, Effect effect, long budgetMs, int sender) {
         orders.put(id, new Order(id, effect, budgetMs, sender));
         witness.saw(Witness.What.HANDED_IN, id, sender, -1, budgetMs);
+        if (effect == Effect.ONCE) {
+            witness.saw(Witness.What.MUST_NOT_REPEAT, id, sender, -1, -1);
+        }
     }
 
     void heard(String id, boolean taken) {
--- a/src/main/java/slipfield/standin/Witness.java
+++ b/src/main/java/slipfield/standin/Witness.java
@@ -6,6 +6,8 @@
     enum What {
         /** A desk hands an order in, to this sender where it is known; {@code value}: its budget in ms. */
         HANDED_IN,
+        /** The order that was just handed in must not run twice. */
+        MUST_NOT_REPEAT,
         /** The desk hears that it is taken on. */
         HEARD_TAKEN,
         /** The desk hears that it is not. */
@@ -32,6 +34,12 @@
         TOLD_DRAIN,
         /** A sender is told that a venue serves again. */
         TOLD_SERVING,
+        /** A sender's process is told to end, by SIGTERM. */
+        TERMINATED,
+        /** A sender's process is stopped, by SIGSTOP. */
+        PAUSED,
+        /** It goes on, by SIGCONT. */
+        CONTINUED,
         /** A sender's process is gone: what it knew of waits is over. */
         ENDED,
         /** A sender's process is there again, and takes orders. */
--- a/src/test/java/slipfield/rig/check/CheckersTest.java
+++ b/src/test/java/slipfield/rig/check/CheckersTest.java
@@ -127,6 +127,50 @@
         assertEquals(List.of(), broken());
     }
 
+    /** Guards against a verdict on orders whose time ran out before any venue could take them: the users' term says "early". */
+    @Test
+    void givingUpWhatHasNoTimeLeftIsNotGivingUpEarly() {
+        restart(6, 8);
+        record.replaceAll(e -> e.what() == What.TOLD_REFUSED && e.atMs() == 2000 ? new Event(4100, e.what(), e.order(), -1, -1, -1) : e);
+        assertEquals(List.of(), broken());
+        record.replaceAll(e -> e.what() == What.TOLD_REFUSED && e.atMs() == 4100 ? new Event(3990, e.what(), e.order(), -1, -1, -1) : e);
+        assertEquals(List.of("untried"), broken());
+    }
+
+    /** Guards against a restart that tries what may be repeated and gives up the rest. */
+    @Test
+    void givingUpOverHalfOfWhatMustNotRunTwiceIsSeen() {
+        restart(6, 5);
+        assertEquals(List.of("lost", "lost", "lost"), broken());
+        record.add(new Event(4000, What.EXCUSED, "a12", -1, -1, -1));
+        record.add(new Event(4000, What.EXCUSED, "a13", -1, -1, -1));
+        record.add(new Event(4000, What.EXCUSED, "a14", -1, -1, -1));
+        assertEquals(List.of(), broken());
+        for (int i = 12; i < 20; i++) {
+            saw(i, What.MUST_NOT_REPEAT, "a" + i, 1, -1, -1);
+        }
+        assertEquals(List.of("untried"), broken());
+    }
+
+    /** Guards against late ends that a kill of some other sender, or at some other time, seems to excuse. */
+    @Test
+    void onlyAnAbsenceAtItsTimeExcusesALateEnd() {
+        saw(0, What.HANDED_IN, "a", 1, -1, 5000);
+        saw(1, What.HEARD_TAKEN, "a", -1, -1, -1);
+        saw(2000, What.ENDED, "", 1, -1, -1);
+        saw(3000, What.BACK, "", 1, -1, -1);
+        saw(4900, What.ENDED, "", 2, -1, -1);
+        saw(9000, What.BACK, "", 2, -1, -1);
+        saw(5301, What.TOLD_FAILED, "a", -1, -1, -1);
+        assertEquals(List.of("lost"), broken());
+        record.replaceAll(e -> e.what() == What.ENDED && e.sender() == 2 ? new Event(4900, What.TERMINATED, "", 1, -1, -1) : e);
+        record.replaceAll(e -> e.what() == What.BACK && e.sender() == 2 ? new Event(9000, What.BACK, "", 1, -1, -1) : e);
+        record.replaceAll(e -> e.what() == What.TOLD_FAILED ? new Event(10_800, e.what(), "a", -1, -1, -1) : e);
+        assertEquals(List.of(), broken());
+        record.replaceAll(e -> e.what() == What.TOLD_FAILED ? new Event(10_801, e.what(), "a", -1, -1, -1) : e);
+        assertEquals(List.of("lost"), broken());
+    }
+
     @Test
     void whatRanIsNotRefused() {
         order("a");
