An order whose record stands whole in the file is not refused when its turn's write fails

Callers saw, while a disk fails: 503 for an order, which the next life then sent (or told as failed): a refusal that promises no effect, with one.

A turn's records go out in one write. Where that failed in its middle and the cut back failed too, whole records stayed in the file, and Intake.settle refused the whole turn.

Ruled out: the compaction (its file never took the old one's place, rename struck 0 times).

AMQP's publications ask in the same way.

FailingCallsTest.whatIsRefusedWhileTheDiskFailsIsNotSentByTheNextLife failed without Intake's line and passes; JournalTest fills the disk at 54 places. The ledger counts a turned-away order that ran as doubled, and the rig has the rule "refused" (a call after HEARD_REFUSED).

--- a/src/main/java/slipfield/core/Desk.java
+++ b/src/main/java/slipfield/core/Desk.java
@@ -68,9 +68,17 @@
      */
     Taking take(Submission submission);
 
-    /** Writes what was taken, in one piece; false: none of it could be written, and each must be refused. */
+    /** Writes what was taken, in one piece; false: it could not, and each must be refused that is not {@link #recorded}. */
     boolean written();
 
+    /**
+     * Whether a message is in the journal though {@link #written} said no: the write failed behind its record, and the file
+     * could not be cut. The next life would go on with it, so it counts as taken on.
+     */
+    default boolean recorded(Held held) {
+        return false;
+    }
+
     /** The client has heard that it was taken, or never will; what was not {@link #written} it never will. */
     void answered(Held held, boolean heard);
 }
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -754,6 +754,11 @@
             return flushed();
         }
 
+        @Override
+        public boolean recorded(Held held) {
+            return journal.isRecorded(held);
+        }
+
         @Override
         public void answered(Held held, boolean heard) {
             if (held.told || held.over) {
--- a/src/main/java/slipfield/front/amqp/Publications.java
+++ b/src/main/java/slipfield/front/amqp/Publications.java
@@ -158,8 +158,9 @@
             List<Taken> told = List.copyOf(taken);
             taken.clear();
             for (Taken t : told) {
-                desk.answered(t.held, written);
-                if (!written) {
+                boolean recorded = written || desk.recorded(t.held);
+                desk.answered(t.held, recorded);
+                if (!recorded) {
                     publications(t.from, t.held.id).forEach(p -> refused(t.from, p, ReplyCode.RESOURCE_ERROR, "no room", 0));
                 }
             }
--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -308,7 +308,7 @@
         List<Taken> told = List.copyOf(taken);
         taken.clear();
         for (Taken t : told) {
-            if (written) {
+            if (written || desk.recorded(t.held)) {
                 t.client.end(t.keepAlive, answer(HttpResponseStatus.ACCEPTED, ""))
                         .addListener(f -> desk.answered(t.held, f.isSuccess()));
             } else {
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -9,10 +9,12 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import slipfield.log.Log;
 import slipfield.policy.Relay;
@@ -48,6 +50,10 @@
     /** Records that are not in the file yet. */
     private final ByteArrayOutputStream batch = new ByteArrayOutputStream();
     private boolean batching;
+    /** Messages taken on in this batch: the number of each, and where its record ends in the batch. */
+    private final Map<Long, Integer> batchTaken = new LinkedHashMap<>();
+    /** Of the last batch that failed, the messages whose records are whole in the file: it could not be cut either. */
+    private final Set<Long> recorded = new HashSet<>();
     /**
      * The file lacks what memory holds: records could not be written, which later ones count on, such as attempts by their
      * place. All is written anew before anything else is.
@@ -132,6 +138,17 @@
         }
         append(held, record);
         kept.live.put(held.number, held);
+        if (batching) {
+            batchTaken.put(held.number, batch.size());
+        }
+    }
+
+    /**
+     * Whether the next life finds this message, though the batch that it was taken on in could not be written: then it must
+     * not be refused.
+     */
+    public boolean isRecorded(Held held) {
+        return recorded.contains(held.number);
     }
 
     /** An attempt is about to be made; it counts as one that may have run from here on. */
@@ -314,7 +331,9 @@
             return;
         }
         byte[] records = batch.toByteArray();
-        batch.reset();
+        Map<Long, Integer> taken = new LinkedHashMap<>(batchTaken);
+        emptyBatch();
+        recorded.clear();
         if (stale) {
             // They are in memory too; behind a torn record nothing may be appended.
             compact();
@@ -328,6 +347,13 @@
         } catch (IOException e) {
             size -= records.length;
             stale = true;
+            if (e instanceof UncutWrite uncut) {
+                taken.forEach((number, end) -> {
+                    if (end <= uncut.written) {
+                        recorded.add(number);
+                    }
+                });
+            }
             throw e;
         } finally {
             if (trace != null) {
@@ -340,7 +366,12 @@
     public void discard() {
         batching = false;
         stale |= batch.size() > 0;
+        emptyBatch();
+    }
+
+    private void emptyBatch() {
         batch.reset();
+        batchTaken.clear();
     }
 
     private void writeRecord(byte[] record) throws IOException {
@@ -358,27 +389,40 @@
         size += record.length;
     }
 
+    /** A write failed after a part of it, and the file could not be cut back: the part stays in it. */
+    private static final class UncutWrite extends IOException {
+        private static final long serialVersionUID = 1;
+        private final int written;
+
+        UncutWrite(IOException cause, int written) {
+            super(cause.getMessage(), cause);
+            this.written = written;
+        }
+    }
+
     /** A record that is written in part must not stay: all behind it would be lost at the next start. */
     private void writeAll(FileChannel to, byte[] bytes) throws IOException {
         long start = to.position();
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
         try {
-            ByteBuffer buffer = ByteBuffer.wrap(bytes);
             while (buffer.hasRemaining()) {
                 to.write(buffer);
             }
         } catch (IOException e) {
-            truncate(to, start, e);
-            throw e;
+            throw cut(to, start, e) ? e : new UncutWrite(e, buffer.position());
         }
     }
 
-    private void truncate(FileChannel to, long start, IOException cause) {
+    /** Whether what stands behind {@code start} could be cut off. */
+    private boolean cut(FileChannel to, long start, IOException cause) {
         try {
             to.truncate(start);
+            return true;
         } catch (IOException e) {
             // Nothing may be written behind the torn record.
             stale = true;
             cause.addSuppressed(e);
+            return false;
         }
     }
 
@@ -398,7 +442,7 @@
         channel = fresh;
         size = records.length;
         // Whatever was collected is told by what is live.
-        batch.reset();
+        emptyBatch();
         stale = false;
         close(replaced);
     }
--- a/src/main/java/slipfield/rig/FailingCalls.java
+++ b/src/main/java/slipfield/rig/FailingCalls.java
@@ -29,7 +29,9 @@
         /** It does a part of what was asked, as a system may. */
         SHORTEN,
         /** Writes only: half is written, and the process gets SIGKILL. */
-        KILL_HALFWAY
+        KILL_HALFWAY,
+        /** Writes only: half is written, and the next write fails with the error. */
+        FAIL_HALFWAY
     }
 
     /** Errors by their numbers on Linux. */
@@ -119,6 +121,11 @@
         strike(Call.FILE_WRITE, Effect.KILL_HALFWAY, 0, 1);
     }
 
+    /** From now on each write to a file does half of what was asked, and the one for the rest fails with the error. */
+    public void failHalfway(Errno error) {
+        strike(Call.FILE_WRITE, Effect.FAIL_HALFWAY, error.number, 1);
+    }
+
     private void strike(Call call, Effect effect, int error, double share) {
         int at = at(call);
         shared.putInt(at, 0);
--- a/src/main/java/slipfield/rig/check/Checkers.java
+++ b/src/main/java/slipfield/rig/check/Checkers.java
@@ -31,6 +31,7 @@
         rules.put("lost", Checkers::lost);
         rules.put("ends", Checkers::ends);
         rules.put("after", Checkers::afterItsEnd);
+        rules.put("refused", Checkers::afterItsRefusal);
         rules.put("untried", Untried::check);
         rules.put("doubled", Checkers::doubled);
         rules.put("drain", Checkers::drain);
@@ -104,6 +105,20 @@
         }
     }
 
+    /** Nothing is sent for an order whose desk heard that it is not taken on. */
+    private static void afterItsRefusal(List<Event> record, Bounds bounds, List<Violation> found) {
+        Map<String, Event> refused = new HashMap<>();
+        for (Event e : record) {
+            if (e.what() == What.HEARD_REFUSED) {
+                refused.put(e.order(), e);
+            } else if (comes(e) && refused.containsKey(e.order())) {
+                found.add(new Violation("refused", e.atMs(), String.format(Locale.ROOT,
+                        "%s came to venue %d %.0f ms after its desk heard that it is refused", e.order(), e.venue(),
+                        e.atMs() - refused.get(e.order()).atMs())));
+            }
+        }
+    }
+
     /** What must not run twice did not; what may, within its window; and nothing that ran is given back as harmless. */
     private static void doubled(List<Event> record, Bounds bounds, List<Violation> found) {
         Map<String, Event> first = new HashMap<>();
--- a/src/main/java/slipfield/standin/Ledger.java
+++ b/src/main/java/slipfield/standin/Ledger.java
@@ -90,7 +90,7 @@
      * @param refused taken, and given back by a notice
      * @param failed taken, and given up by a notice
      * @param lost taken, and without an end
-     * @param doubled ran twice against their class, or given back though they had run
+     * @param doubled ran twice against their class, or given back or turned away though they had run
      * @param repeats runs that venues dropped by their key
      * @param missing the lost ones, in the order of their hand-in
      */
@@ -320,7 +320,7 @@
         }
         boolean twice = order.runs > 1 && (order.effect == Effect.ONCE || order.ranPastWindow);
         // Whoever heeds such a refusal hands in again what has run.
-        boolean givenBackThoughRun = order.refused && order.runs > 0;
+        boolean givenBackThoughRun = (order.refused || order.heard == Heard.TURNED_AWAY) && order.runs > 0;
         n[8] += twice || givenBackThoughRun ? 1 : 0;
         n[9] += order.effect == Effect.KEYED ? Math.max(0, order.runs - 1) : 0;
     }
--- a/src/main/resources/slipfield/rig/failing-calls.c
+++ b/src/main/resources/slipfield/rig/failing-calls.c
@@ -25,7 +25,7 @@
     FILE_SYNC, CALLS };
 
 /* In the order of slipfield.rig.FailingCalls.Effect. */
-enum effect { FAIL, SHORTEN, KILL_HALFWAY };
+enum effect { FAIL, SHORTEN, KILL_HALFWAY, FAIL_HALFWAY };
 
 struct rule {
     int32_t share_per_mille;
@@ -46,6 +46,8 @@
 static struct control *control;
 static const char *folder;
 static unsigned char kinds[MOST_DESCRIPTORS];
+/* The last write was cut in half: the next one fails. */
+static unsigned char cut_in_half[MOST_DESCRIPTORS];
 static __thread uint64_t random_state;
 
 __attribute__((constructor)) static void begin(void) {
@@ -197,6 +199,13 @@
         errno = rule->error;
         return -1;
     }
+    if (rule->effect == FAIL_HALFWAY && fd < MOST_DESCRIPTORS) {
+        cut_in_half[fd] = !cut_in_half[fd];
+        if (!cut_in_half[fd]) {
+            errno = rule->error;
+            return -1;
+        }
+    }
     ssize_t half = next(fd, bytes, count > 1 ? count / 2 : count);
     if (rule->effect == KILL_HALFWAY) {
         kill(getpid(), SIGKILL);
--- a/src/test/java/slipfield/journal/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -412,10 +412,19 @@
     /** A disk that takes so many more bytes, then fails half-way through a write. */
     private static final class SmallDisk {
         private long room = Long.MAX_VALUE;
+        private boolean cuts = true;
 
         FileChannel open(Path path, StandardOpenOption... options) throws IOException {
             FileChannel disk = FileChannel.open(path, options);
             return new FailingChannel(disk) {
+                @Override
+                public FileChannel truncate(long size) throws IOException {
+                    if (!cuts) {
+                        throw new IOException("Input/output error");
+                    }
+                    return super.truncate(size);
+                }
+
                 @Override
                 public int write(ByteBuffer from) throws IOException {
                     if (room >= from.remaining()) {
@@ -495,6 +504,34 @@
         }
     }
 
+    /** Guards against a message that is refused and stands whole in the file: its write failed behind it, and so did the cut. */
+    @Test
+    void whatIsRecordedOfATurnThatCouldBeNeitherWrittenNorCutIsWhatTheNextLifeFinds() throws Exception {
+        int found = 0;
+        for (int room = 0; room < 700; room += 13) {
+            Files.deleteIfExists(folder.resolve("journal"));
+            SmallDisk disk = new SmallDisk();
+            List<String> recorded = new ArrayList<>();
+            try (Journal journal = new Journal(folder, DISK, 12, new LifeClock.Mark(0, 0, 0), disk::open)) {
+                journal.begin();
+                List<Held> taken = new ArrayList<>();
+                for (int i = 0; i < 3; i++) {
+                    taken.add(held(journal, 200));
+                    journal.taken(taken.get(i));
+                }
+                disk.room = room;
+                disk.cuts = false;
+                assertThrows(IOException.class, journal::flush);
+                taken.stream().filter(journal::isRecorded).forEach(held -> recorded.add(held.id));
+            }
+            try (Journal journal = open()) {
+                assertEquals(recorded, journal.held().stream().map(h -> h.id).toList(), "with room for " + room);
+                found += recorded.size();
+            }
+        }
+        assertTrue(found > 20, "so many were found: " + found);
+    }
+
     /** After a turn that could not be written the next record is written with all that is live: an end tells of itself there. */
     @Test
     void theIdOfAnEndThatCompactsIsKnownInTheNextLife() throws Exception {
--- a/src/test/java/slipfield/rig/FailingCallsTest.java
+++ b/src/test/java/slipfield/rig/FailingCallsTest.java
@@ -38,6 +38,9 @@
     private static final long ENDS_MS = 15_000;
     private static final TrialWorld.Size SIZE = new TrialWorld.Size(1, 1000, 5000, GIVE_UP_MS, 400, 24);
 
+    /** The same with orders that outlast a restart on a busy machine. */
+    private static final TrialWorld.Size PATIENT = new TrialWorld.Size(1, 1000, 5000, 20_000, 400, 24);
+
     @TempDir
     private static Path shared;
     private static Path library;
@@ -55,7 +58,11 @@
 
     @BeforeEach
     void begin() throws IOException {
-        world = new TrialWorld(folder, SIZE, Optional.empty());
+        begin(SIZE);
+    }
+
+    private void begin(TrialWorld.Size size) throws IOException {
+        world = new TrialWorld(folder, size, Optional.empty());
         calls = new FailingCalls(library, folder.resolve("calls"), folder.resolve("state"));
         sender = new SenderProcess(folder, calls.wrapper(), SenderProcess.SMALL);
     }
@@ -274,6 +281,36 @@
         assertTrue(account.holds(), account.toString());
     }
 
+    /**
+     * Guards against a request that is answered 503 and sent by the next life: its record is whole in the file, behind it a
+     * write of the same turn failed, and the file could not be cut either.
+     */
+    @Test
+    void whatIsRefusedWhileTheDiskFailsIsNotSentByTheNextLife() throws Exception {
+        end();
+        begin(PATIENT);
+        sender.start();
+        world.desks().atRate(500);
+        await("deliveries", () -> world.ledger().deliveredSoFar() > 10);
+        sender.stop();
+        long handedIn = world.ledger().account().handedIn();
+        await("orders that wait to be read together", () -> world.ledger().account().handedIn() > handedIn + 30);
+        calls.failHalfway(Errno.ENOSPC);
+        calls.fail(Call.FILE_TRUNCATE, Errno.EIO, 1);
+        calls.fail(Call.FILE_RENAME, Errno.EIO, 1);
+        sender.go();
+        await("refusals", () -> world.ledger().account().turnedAway() > 10);
+        world.desks().stop();
+        sender.kill();
+        calls.heal();
+        sender.start();
+        accountAfterAll();
+        sender.terminate();
+        await("the end of all that the next life has found", () -> log().contains(" sender.ended name=sender-0 held=0 owed=0"));
+        Ledger.Account account = world.ledger().account();
+        assertTrue(account.holds(), account.toString());
+    }
+
     private void stepWallClockWithCallsOut(long byMs) throws InterruptedException {
         Venue venue = world.venues().get(0);
         venue.mood(Venue.Mood.SILENT);
--- a/src/test/java/slipfield/rig/check/CheckersTest.java
+++ b/src/test/java/slipfield/rig/check/CheckersTest.java
@@ -59,6 +59,16 @@
         assertEquals(List.of("after"), broken());
     }
 
+    /** Guards against a request that is answered 503 and forwarded all the same, by this life or the next. */
+    @Test
+    void aCallForWhatWasRefusedIsSeen() {
+        saw(0, What.HANDED_IN, "a", -1, -1, 5000);
+        saw(10, What.HEARD_REFUSED, "a", -1, -1, -1);
+        assertEquals(List.of(), broken());
+        saw(900, What.RUN, "a", 0, 0, 1);
+        assertEquals(List.of("refused"), broken());
+    }
+
     @Test
     void twoEndsThatSayDifferentThings() {
         order("a");
