--- a/src/main/java/slipfield/core/Durability.java
+++ b/src/main/java/slipfield/core/Durability.java
@@ -18,6 +18,8 @@
  */
 final class Durability {
     private static final long REPAIR_MS = 20;
+    /** A try that takes long is followed by a pause so many times as long, so that the event loop has time for the rest. */
+    private static final long PAUSE_PER_TRY = 4;
     /** Tries within one turn: a failure of one write in two is then met in one turn of eight. */
     private static final int TRIES = 3;
     /** An end that can't be recorded is told so long before its client's time is over: the way of a notice. */
@@ -44,6 +46,8 @@
     private boolean whole = true;
     private long brokenNanos;
     private long triedNanos;
+    /** Until the next try to write all that is held. */
+    private long pauseMs = REPAIR_MS;
 
     /** {@code mayGoOn}: whether a next life that knows of no end would send the message again. */
     Durability(EventLoop loop, Journal journal, Predicate<Held> mayGoOn, Effects effects) {
@@ -51,17 +55,20 @@
         this.journal = journal;
         this.mayGoOn = mayGoOn;
         this.effects = effects;
+        journal.repairedByOwner();
     }
 
     /** Writes what was collected; false: something of it, or from before, is not in the file. */
     boolean flush() {
-        if (!whole && System.nanoTime() - triedNanos < TimeUnit.MILLISECONDS.toNanos(REPAIR_MS)) {
+        if (!whole && System.nanoTime() - triedNanos < TimeUnit.MILLISECONDS.toNanos(pauseMs)) {
             // Each try writes all that is held: not one in every turn.
             journal.discard();
             return false;
         }
+        long begunNanos = System.nanoTime();
+        int tries = whole ? TRIES : 1;
         IOException cause = null;
-        for (int i = 0; i < TRIES; i++) {
+        for (int i = 0; i < tries; i++) {
             try {
                 journal.flush();
                 journal.repair();
@@ -71,7 +78,7 @@
                 cause = e;
             }
         }
-        triedNanos = System.nanoTime();
+        failedSince(begunNanos);
         Log.error("journal.turn_unwritten", "cause", cause);
         check();
         return false;
@@ -83,21 +90,27 @@
             whole = false;
             brokenNanos = System.nanoTime();
             effects.recording(false);
-            loop.schedule(this::repair, REPAIR_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::repair, pauseMs, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void failedSince(long begunNanos) {
+        triedNanos = System.nanoTime();
+        pauseMs = Math.max(REPAIR_MS, PAUSE_PER_TRY * TimeUnit.NANOSECONDS.toMillis(triedNanos - begunNanos));
+    }
+
     private void repair() {
         if (whole) {
             return;
         }
+        long begunNanos = System.nanoTime();
         try {
             journal.repair();
             mended();
         } catch (IOException e) {
-            triedNanos = System.nanoTime();
+            failedSince(begunNanos);
             Log.error("journal.still_unwritten", "for_ms", brokenMs(), "ends_held", ended.size(), "cause", e);
-            loop.schedule(this::repair, REPAIR_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::repair, pauseMs, TimeUnit.MILLISECONDS);
         }
         release();
     }
@@ -109,6 +122,7 @@
     private void mended() {
         if (!whole) {
             whole = true;
+            pauseMs = REPAIR_MS;
             Log.info("journal.written_again", "after_ms", brokenMs(), "ends_held", ended.size());
             effects.recording(true);
         }
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -59,6 +59,8 @@
      * place. All is written anew before anything else is.
      */
     private boolean stale;
+    /** Whether a stale file is written anew by {@link #repair} and {@link #flush} alone, not by each record that comes. */
+    private boolean repairedByOwner;
     /** Absent unless the sender is traced. */
     private Trace trace;
 
@@ -291,6 +293,14 @@
         return stale;
     }
 
+    /**
+     * From now on a record that comes while the file lacks something fails at once, and the owner calls {@link #repair}. Writing all
+     * anew takes as long as the journal is large: not for each record while a disk goes on failing.
+     */
+    public void repairedByOwner() {
+        repairedByOwner = true;
+    }
+
     /** Writes all anew if the file lacks anything. */
     public void repair() throws IOException {
         if (stale) {
@@ -375,6 +385,9 @@
     }
 
     private void writeRecord(byte[] record) throws IOException {
+        if (stale && repairedByOwner) {
+            throw new IOException("the journal can't be written for now");
+        }
         if (stale || size + kept.bytes() + 2L * record.length > bound) {
             compact();
         }
--- a/src/test/java/slipfield/journal/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import slipfield.policy.Relay;
@@ -532,6 +533,32 @@
         assertTrue(found > 20, "so many were found: " + found);
     }
 
+    /** Guards against an event loop that writes all that is held once for each record while a disk goes on failing. */
+    @Test
+    void aJournalThatItsOwnerRepairsIsNotWrittenAnewForEachRecord() throws Exception {
+        SmallDisk disk = new SmallDisk();
+        AtomicInteger opened = new AtomicInteger();
+        try (Journal journal = new Journal(folder, DISK, 12, new LifeClock.Mark(0, 0, 0), (path, options) -> {
+            opened.incrementAndGet();
+            return disk.open(path, options);
+        })) {
+            journal.repairedByOwner();
+            Held first = held(journal, 10);
+            journal.taken(first);
+            disk.room = 0;
+            assertThrows(IOException.class, () -> journal.owed(first, new Held.Notice(Held.End.FAILED, 0)));
+            int before = opened.get();
+            for (int i = 0; i < 100; i++) {
+                assertThrows(IOException.class, () -> journal.taken(held(journal, 10)));
+            }
+            assertEquals(before, opened.get());
+            assertThrows(IOException.class, journal::repair);
+            disk.room = Long.MAX_VALUE;
+            journal.repair();
+            journal.taken(held(journal, 10));
+        }
+    }
+
     /** After a turn that could not be written the next record is written with all that is live: an end tells of itself there. */
     @Test
     void theIdOfAnEndThatCompactsIsKnownInTheNextLife() throws Exception {
