AMQP's listeners accept on a thread of their own, so an aborted connection holds nobody up

Operators with AMQP on saw (off on the platform): while connections to its listener are aborted before their accept (ECONNABORTED), the whole sender stood still, as the JDK tries again inside the call on the event loop.

Why this works. One AcceptLoop class serves both fronts (Intake's own code for it is gone); the event loop gets accepted connections only. The listeners are closed by kill, as their thread no longer ends with the core's.

--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -30,6 +30,8 @@
 import slipfield.amqp.codec.FrameEncoder;
 import slipfield.amqp.decide.Backpressure;
 import slipfield.config.Config;
+import slipfield.retry.Retry;
+import slipfield.socket.AcceptLoop;
 import slipfield.socket.Listener;
 
 /** The listener and its connections, on the core's loop. */
@@ -58,6 +60,8 @@
     private Consuming consuming;
     private final Deque<ServerConnection> toSweep = new ArrayDeque<>();
     private int sweepAtOnce;
+    /** Absent until it listens. */
+    private AcceptLoop acceptLoop;
     private int lastConnection;
     private boolean taking;
     private boolean closing;
@@ -89,6 +93,7 @@
 
     /** Begins to listen, and waits until it does. */
     public List<InetSocketAddress> listen() throws IOException {
+        acceptLoop = Retry.within(Retry.START_MS, "amqp-accept", AcceptLoop::open);
         List<InetSocketAddress> addresses = new ArrayList<>();
         if (config.listen().isPresent()) {
             addresses.add(bind(config.listen().get(), channel -> { }));
@@ -105,7 +110,7 @@
     }
 
     private InetSocketAddress bind(InetSocketAddress address, Consumer<Channel> first) throws IOException {
-        ChannelFuture bound = new ServerBootstrap().group(loop, loop).channelFactory(Listener::new).handler(new Listener.AcceptFailures())
+        ChannelFuture bound = new ServerBootstrap().group(acceptLoop.group(), loop).channelFactory(Listener::new).handler(new Listener.AcceptFailures())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
@@ -121,6 +126,7 @@
                     + "; set another `listen` in the file of AMQP");
         }
         listeners.add(bound.channel());
+        bound.channel().closeFuture().addListener(closed -> endAccepting());
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
@@ -137,6 +143,11 @@
         channel.pipeline().addLast(new FlushConsolidationHandler(FLUSH_AFTER, true), decoder, encoder, connection);
     }
 
+    /** Lets go of its listeners, as the end of the process would; from any thread but the event loop. */
+    public void kill() {
+        listeners.stream().filter(Channel::isOpen).forEach(listener -> listener.close().syncUninterruptibly());
+    }
+
     /** Takes no new connection; each that stands is closed with reply code 320 once nothing of it is out. */
     public void close() {
         closing = true;
@@ -145,6 +156,12 @@
         sweep();
     }
 
+    private void endAccepting() {
+        if (listeners.stream().noneMatch(Channel::isOpen)) {
+            acceptLoop.end();
+        }
+    }
+
     /** Connections with something out, and those that are being closed. */
     public int busy() {
         return connections.size();
--- a/src/main/java/slipfield/front/amqp/Publications.java
+++ b/src/main/java/slipfield/front/amqp/Publications.java
@@ -80,6 +80,11 @@
         return addresses.get(0);
     }
 
+    @Override
+    public void kill() {
+        server.kill();
+    }
+
     /** Where it listens: without TLS first, where it does both. */
     public List<InetSocketAddress> addresses() {
         return addresses;
--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -11,12 +11,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -33,7 +30,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -52,6 +48,7 @@
 import slipfield.journal.Held;
 import slipfield.log.Log;
 import slipfield.retry.Retry;
+import slipfield.socket.AcceptLoop;
 import slipfield.socket.Listener;
 import slipfield.trace.Trace;
 
@@ -67,7 +64,6 @@
 public final class Intake implements Front {
     private static final int LONGEST_BODY = 64 * 1024;
     private static final long SWEEP_MS = 200;
-    private static final long ACCEPT_END_MS = 100;
     /** One in so many connections may follow ends. */
     private static final int FOLLOWERS = 4;
     /** Reads of one connection before the next one's turn. */
@@ -93,8 +89,7 @@
     private final List<Taken> taken = new ArrayList<>();
     /** Absent unless the sender is traced. */
     private Trace trace;
-    /** Accepting alone: it may be held up, and nothing else may be. */
-    private EventLoopGroup acceptors;
+    private AcceptLoop acceptLoop;
     private Listener listener;
     /** Connections that are made may still wait to be accepted. */
     private boolean accepting;
@@ -178,21 +173,13 @@
     @Override
     public InetSocketAddress listen() throws IOException {
         loop.scheduleWithFixedDelay(crowd::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        acceptors = Retry.within(Retry.START_MS, "accept", Intake::acceptors);
-        bootstrap.group(acceptors, loop);
+        acceptLoop = Retry.within(Retry.START_MS, "accept", AcceptLoop::open);
+        bootstrap.group(acceptLoop.group(), loop);
         listener = Retry.within(Retry.START_MS, "listen", this::bind);
         accepting = true;
         return listener.localAddress();
     }
 
-    private static EventLoopGroup acceptors() throws IOException {
-        try {
-            return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("accept", true), NioIoHandler.newFactory());
-        } catch (IllegalStateException e) {
-            throw new IOException("no selector can be opened", e);
-        }
-    }
-
     private Listener bind() throws IOException {
         ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -213,19 +200,15 @@
         hints.follow().ifPresent(Follow::release);
         // Told behind the connections that were accepted last.
         listener.closeFuture().addListener(closed -> loop.execute(() -> accepting = false));
-        listener.closeFuture().addListener(closed -> endAccepting());
+        listener.closeFuture().addListener(closed -> acceptLoop.end());
         listener.acceptRestAndClose();
     }
 
-    private void endAccepting() {
-        acceptors.shutdownGracefully(0, ACCEPT_END_MS, TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void kill() {
         if (listener != null && listener.isOpen()) {
             listener.close().syncUninterruptibly();
-            endAccepting();
+            acceptLoop.end();
         }
     }
 
--- a/src/test/java/slipfield/rig/FailingCallsTest.java
+++ b/src/test/java/slipfield/rig/FailingCallsTest.java
@@ -6,8 +6,10 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +21,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import slipfield.amqp.Secret;
 import slipfield.rig.FailingCalls.Call;
 import slipfield.rig.FailingCalls.Errno;
 import slipfield.standin.Ledger;
@@ -174,6 +179,44 @@
         }
     }
 
+    /** Guards against a sender that is held up by connections to its AMQP listener that were aborted before their accept. */
+    @Test
+    void aBrokerListenerWhoseAcceptIsAbortedHoldsUpNobodyElse() throws Exception {
+        InetSocketAddress amqp = TrialWorld.freeAddress();
+        Files.writeString(folder.resolve("amqp.yaml"), "listen: 127.0.0.1:" + amqp.getPort() + "\nusers: [{name: desk, secret: \""
+                + Secret.of("secret of tests", 1) + "\", tenant: desk, publish: [orders]}]\n"
+                + "exchanges: [{name: orders, routes: [{key: order.*, class: order, destination_word: 2}]}]\n");
+        sender.start();
+        try (Socket before = connect()) {
+            assertEquals("HTTP/1.1 200 OK", health(before));
+            calls.fail(Call.ACCEPT, Errno.ECONNABORTED, 1);
+            try (Socket broker = new Socket(amqp.getAddress(), amqp.getPort())) {
+                await("an accept that fails", () -> calls.struck(Call.ACCEPT) > 0);
+                assertEquals("HTTP/1.1 200 OK", health(before));
+            }
+        }
+    }
+
+    /** Guards against an open connection whose peer is gone or unreachable: a call ends as one that may have run, and once. */
+    @ParameterizedTest
+    @EnumSource(names = {"ETIMEDOUT", "EHOSTUNREACH"})
+    void openConnectionsThatTimeOutOrLoseTheirRouteLoseNoOrder(Errno error) throws Exception {
+        sender.start();
+        world.desks().atRate(50);
+        await("deliveries", () -> world.ledger().deliveredSoFar() > 20);
+        for (Call call : new Call[] {Call.SOCKET_WRITE, Call.SOCKET_READ}) {
+            int struck = calls.struck(call);
+            calls.fail(call, error, 0.2);
+            await(call + " that fails", () -> calls.struck(call) > struck + 30);
+            calls.heal();
+            long delivered = world.ledger().deliveredSoFar();
+            await("deliveries since", () -> world.ledger().deliveredSoFar() > delivered + 20);
+        }
+        Ledger.Account account = accountAfterAll();
+        assertTrue(account.holds(), account.toString());
+        assertTrue(world.ledger().latestMs() <= LATE_MS, "an end came " + world.ledger().latestMs() + " ms after its time");
+    }
+
     @Test
     void aReadThatIsInterruptedClosesNoConnection() throws Exception {
         sender.start();
