The soak uses open connections until the kill, sends signals in series, and draws crowds

What is owed at the end of a process was only met where desks happened to be connected: each sender had a handful of connections, all closed within the first half second of a drain.

Desks keep connections open (each used once in 2 s) and, when their sender is told to end, use every one that stands at moments spread over the time until the kill, its very end among them; new ones come for 0.3 s. The rule "unanswered": a request that was read, with its connection closed and no answer. What was not read is answered by a reset on the loopback, by which a desk tells the two apart.

--- a/src/main/java/slipfield/rig/FleetRun.java
+++ b/src/main/java/slipfield/rig/FleetRun.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import slipfield.rig.check.Bounds;
 import slipfield.rig.check.Checkers;
@@ -43,6 +44,8 @@
     private static final int MOST_OPEN = 400;
     private static final int SLOTS = 24;
     private static final int STARTS_AT_ONCE = 4;
+    /** Each connection of a desk is used once in so many seconds: a sender keeps it for 2.5 s. */
+    private static final double KEPT_OPEN_S = 2;
     private static final long TICK_MS = 10;
     /** After the last order's time: how much later an end may come, and how long one is waited for. */
     private static final long LATE_MS = 1000;
@@ -58,6 +61,7 @@
     private final double rate;
     private final List<SenderProcess> senders = new ArrayList<>();
     private final Map<Fault, List<Process>> others = new HashMap<>();
+    private final Map<Fault, List<ClientCrowd>> crowds = new HashMap<>();
     private final Sightings record = new Sightings();
     /** What each sender asks of its system; none where the schedule strikes nothing of it. */
     private final List<FailingCalls> calls = new ArrayList<>();
@@ -128,6 +132,7 @@
             }
             awaitStarts();
             for (int i = 0; i < schedule.senders(); i++) {
+                world.desks(i).keepOpen((int) (KEPT_OPEN_S * rate / schedule.senders()));
                 world.desks(i).atRate(rate / schedule.senders());
             }
             world.venues().forEach(venue -> venue.leastWait(TOLD_WAIT_MS));
@@ -140,6 +145,7 @@
             return result(network, world);
         } finally {
             others.values().forEach(all -> all.forEach(Process::destroy));
+            crowds.values().forEach(all -> all.forEach(ClientCrowd::close));
             senders.forEach(SenderProcess::close);
             starts.shutdownNow();
         }
@@ -214,6 +220,7 @@
                 ends(f);
             }
         }
+        setCrowds(now, world);
         setCalls(now);
         for (Fault f : now) {
             if (!before.contains(f) && f.kind().ofProcess()) {
@@ -222,6 +229,22 @@
         }
     }
 
+    private void setCrowds(Set<Fault> now, TrialWorld world) {
+        for (Fault f : now) {
+            if (f.kind() == Kind.CROWD) {
+                crowds.computeIfAbsent(f, fresh -> IntStream.range(0, schedule.senders()).filter(f::strikes)
+                        .mapToObj(i -> new ClientCrowd(world.sender(i), (int) f.size())).toList());
+            }
+        }
+        crowds.keySet().removeIf(f -> {
+            boolean over = !now.contains(f);
+            if (over) {
+                crowds.get(f).forEach(ClientCrowd::close);
+            }
+            return over;
+        });
+    }
+
     /** What each sender's system does from now on; a clock that was set stays so only while its fault holds. */
     private void setCalls(Set<Fault> now) {
         for (int i = 0; i < calls.size(); i++) {
@@ -289,7 +312,11 @@
                 case TERM -> {
                     awaitStart(i);
                     record.saw(What.TERMINATED, "", i, -1, -1);
-                    senders.get(i).terminate();
+                    world.desks(i).senderEnds(f.forMs());
+                    for (int signals = 0; signals < 2; signals++) {
+                        senders.get(i).hangUp();
+                        senders.get(i).terminate();
+                    }
                 }
                 default -> {
                     List<Process> wanting = others.computeIfAbsent(f, all -> new ArrayList<>());
--- a/src/main/java/slipfield/rig/check/Checkers.java
+++ b/src/main/java/slipfield/rig/check/Checkers.java
@@ -18,6 +18,8 @@
     /** The rules by name, in the order in which they are checked. */
     private static final Map<String, Rule> RULES = rules();
     private static final int SPANS = 4;
+    /** What a kill does to connections is seen within so long before or after it. */
+    private static final double KILL_SEEN_MS = 2000;
 
     private interface Rule {
         void check(List<Event> record, Bounds bounds, List<Violation> found);
@@ -30,6 +32,7 @@
         Map<String, Rule> rules = new LinkedHashMap<>();
         rules.put("lost", Checkers::lost);
         rules.put("ends", Checkers::ends);
+        rules.put("unanswered", Checkers::unanswered);
         rules.put("after", Checkers::afterItsEnd);
         rules.put("refused", Checkers::afterItsRefusal);
         rules.put("untried", Untried::check);
@@ -89,6 +92,27 @@
         }
     }
 
+    /** What a sender has read is answered, unless it was killed in that moment with no signal before. */
+    private static void unanswered(List<Event> record, Bounds bounds, List<Violation> found) {
+        Map<Integer, List<Double>> killedAt = new HashMap<>();
+        Set<Integer> terminated = new HashSet<>();
+        for (Event e : record) {
+            if (e.what() == What.TERMINATED) {
+                terminated.add(e.sender());
+            } else if (e.what() == What.ENDED && !terminated.remove(e.sender())) {
+                killedAt.computeIfAbsent(e.sender(), s -> new ArrayList<>()).add(e.atMs());
+            }
+        }
+        for (Event e : record) {
+            boolean killed = killedAt.getOrDefault(e.sender(), List.of()).stream()
+                    .anyMatch(atMs -> Math.abs(atMs - e.atMs()) < KILL_SEEN_MS);
+            if (e.what() == What.UNANSWERED && !killed) {
+                found.add(new Violation("unanswered", e.atMs(), String.format(Locale.ROOT,
+                        "%s was read by sender %d, which closed the connection without an answer", e.order(), e.sender())));
+            }
+        }
+    }
+
     /** Nothing is sent for an order whose end the platform was told; what was under way then still arrives. */
     private static void afterItsEnd(List<Event> record, Bounds bounds, List<Violation> found) {
         Map<String, Event> ended = new HashMap<>();
--- a/src/main/java/slipfield/rig/plan/Fault.java
+++ b/src/main/java/slipfield/rig/plan/Fault.java
@@ -24,8 +24,10 @@
         STOP(true, false),
         /** So many others, the size, want the core that the process is on. */
         STARVE(true, false),
-        /** A process gets SIGTERM, SIGKILL when the length is over, and is started again, with its folder. */
+        /** A process gets SIGHUP and SIGTERM, each twice, SIGKILL when the length is over, and is started again, with its folder. */
         TERM(true, false),
+        /** So many clients, the size, connect to a sender and ask nothing. */
+        CROWD(true, false),
         /** This share of a sender's calls to open, connect and accept sockets fails, the size. */
         SOCKETS_FAIL(true, false),
         /** This share of a sender's reads and writes on sockets is interrupted, the size. */
--- a/src/main/java/slipfield/rig/plan/Schedule.java
+++ b/src/main/java/slipfield/rig/plan/Schedule.java
@@ -38,7 +38,9 @@
     /** What is drawn where calls of senders may fail too. */
     private static final List<Kind> WITH_CALLS = List.of(Kind.SOCKETS_FAIL, Kind.READS_INTERRUPTED, Kind.READS_SHORT,
             Kind.DISK_FAIL, Kind.DISK_FAIL, Kind.CLOCK_AHEAD, Kind.CLOCK_BEHIND, Kind.KILL, Kind.KILL, Kind.TERM, Kind.VENUE_DOWN,
-            Kind.VENUE_REFUSE, Kind.VENUE_RESET, Kind.VENUE_DRAIN, Kind.AGENT_SILENT);
+            Kind.VENUE_REFUSE, Kind.VENUE_RESET, Kind.VENUE_DRAIN, Kind.AGENT_SILENT, Kind.TERM, Kind.CROWD);
+    /** More than the connections that a sender of the rig has for clients: 0.6 of 2048 less 48. */
+    private static final int CROWD = 1300;
 
     /** Checks its bounds, and that each fault names what there is. */
     public Schedule {
@@ -66,7 +68,7 @@
     /** A run of this size with faults drawn from a generator. A process that is down is not struck again meanwhile. */
     public static Schedule drawn(RandomGenerator random, int senders, int venues, long lengthMs) {
         return drawn(random, senders, venues, lengthMs,
-                Arrays.stream(Kind.values()).filter(kind -> !kind.ofCalls() && kind != Kind.TERM).toList());
+                Arrays.stream(Kind.values()).filter(kind -> !kind.ofCalls() && kind != Kind.TERM && kind != Kind.CROWD).toList());
     }
 
     /** The same with system calls that fail, clocks that are set, and signals in series. */
@@ -124,6 +126,7 @@
             case VENUE_SLOW, NOTES_SLOW -> 20 + random.nextInt(480);
             case VENUE_NARROW -> 2000 + random.nextInt(30_000);
             case NOTES_LOST, NOTES_DOUBLED -> (1 + random.nextInt(9)) / 10.0;
+            case CROWD -> CROWD;
             case STARVE -> 2 + random.nextInt(5);
             case SOCKETS_FAIL, READS_INTERRUPTED, READS_SHORT, DISK_FAIL -> (2 + random.nextInt(9)) / 10.0;
             case CLOCK_AHEAD, CLOCK_BEHIND -> random.nextBoolean() ? 1000 + random.nextInt(9000) : CLOCK_HOUR_MS;
--- a/src/main/java/slipfield/standin/Desks.java
+++ b/src/main/java/slipfield/standin/Desks.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -24,10 +25,13 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -40,6 +44,10 @@
     /** So long a desk waits for the answer to a hand-in. */
     private static final long PATIENCE_MS = 2000;
     private static final long PAUSE_MS = 20;
+    /** From SIGTERM on new connections come for so long (PROTOCOL: 0.2 to 0.4 s). */
+    private static final long NEW_CONNECTIONS_MS = 300;
+    /** A reset that answers what was not read comes within this after the end of the stream, on the loopback. */
+    private static final long RESET_SEEN_MS = 200;
     /** Connections that open-loop desks share. */
     private static final int MOST_CONNECTIONS = 64;
     private static final byte[] BODY = "{\"side\":\"buy\",\"symbol\":\"AKL\",\"quantity\":100}"
@@ -67,6 +75,11 @@
     private long tickedNanos;
     private boolean closedLoop;
     private boolean stopped;
+    /** So many connections stand at the least, and are used in turn. */
+    private int leastConnections;
+    /** Until when open connections are used one by one, as their sender is to end; 0: it is not. */
+    private long endsNanos;
+    private long endsSinceNanos;
 
     /** Desks of a sender at this address, by a number that stands in their orders' ids; each order may take so long. */
     public Desks(EventLoop loop, int number, InetSocketAddress sender, Ledger ledger, long budgetMs) {
@@ -83,7 +96,8 @@
         this.ledger = ledger;
         this.budgetMs = budgetMs;
         this.bootstrap = new Bootstrap().group(loop).channelFactory(NioSocketChannel::new)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -100,13 +114,25 @@
         });
     }
 
+    /** From now on so many connections stand at the least, and are used in turn; the sender closes what rests for 2.5 s. */
+    public void keepOpen(int least) {
+        loop.execute(() -> leastConnections = Math.min(MOST_CONNECTIONS, least));
+    }
+
     private void tick(double perSecond) {
         long now = System.nanoTime();
         due = Math.min(MOST_CONNECTIONS, due + (now - tickedNanos) * perSecond / 1e9);
         tickedNanos = now;
+        boolean ending = now < endsNanos;
+        if (connections < leastConnections && !ending && !stopped) {
+            new Desk().connect();
+        }
         while (due >= 1 && !stopped) {
-            Desk desk = free.poll();
+            Desk desk = ending ? null : free.poll();
             if (desk == null) {
+                if (ending && now - endsSinceNanos > TimeUnit.MILLISECONDS.toNanos(NEW_CONNECTIONS_MS)) {
+                    return;
+                }
                 if (connections < MOST_CONNECTIONS) {
                     new Desk().connect();
                     continue;
@@ -146,6 +172,23 @@
         }).syncUninterruptibly();
     }
 
+    /**
+     * The sender was told to end and has so long: each connection that stands is used once more and once again while it is open, at
+     * moments spread over this time, its very end among them. New ones come for a short while only.
+     */
+    public void senderEnds(long withinMs) {
+        loop.execute(() -> {
+            endsSinceNanos = System.nanoTime();
+            endsNanos = endsSinceNanos + TimeUnit.MILLISECONDS.toNanos(withinMs);
+            List<Desk> resting = new ArrayList<>(free);
+            free.clear();
+            for (int i = 0; i < resting.size(); i++) {
+                Desk desk = resting.get(i);
+                loop.schedule(desk::handIn, withinMs * (i + 1) / resting.size(), TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
     /** The sender's machine is lost, with all that it held. */
     public void lost() {
         ledger.excuse(idPrefix);
@@ -188,15 +231,26 @@
             if (channel == null || !channel.isActive()) {
                 return;
             }
+            long leftNanos = endsNanos - System.nanoTime();
             if (closedLoop && !stopped) {
                 handIn();
+            } else if (leftNanos > 0 && !stopped) {
+                loop.schedule(this::handIn, ThreadLocalRandom.current().nextLong(leftNanos), TimeUnit.NANOSECONDS);
+            } else {
+                rest();
+            }
+        }
+
+        private void rest() {
+            if (leastConnections > 0) {
+                free.addLast(this);
             } else {
                 free.push(this);
             }
         }
 
         private void handIn() {
-            if (!channel.isActive()) {
+            if (channel == null || !channel.isActive() || stopped || out != null) {
                 return;
             }
             Ledger.Effect effect = orders % 2 == 0 ? Ledger.Effect.KEYED : Ledger.Effect.ONCE;
@@ -243,6 +297,27 @@
             }
         }
 
+        /** The sender has ended the stream: what it had not read by then it answers by a reset. */
+        private void streamEnded() {
+            String asked = out;
+            Channel ended = channel;
+            if (asked == null) {
+                ended.close();
+                return;
+            }
+            loop.schedule(() -> {
+                if (asked.equals(out)) {
+                    // Fails where a reset has come. Past the codec, which writes HTTP only.
+                    ended.pipeline().firstContext().writeAndFlush(Unpooled.wrappedBuffer(new byte[1])).addListener(written -> {
+                        if (written.isSuccess()) {
+                            ledger.unanswered(asked, number);
+                        }
+                        ended.close();
+                    });
+                }
+            }, RESET_SEEN_MS, TimeUnit.MILLISECONDS);
+        }
+
         private void gone() {
             if (out != null) {
                 out = null;
@@ -271,6 +346,13 @@
             }
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                desk.streamEnded();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             desk.gone();
--- a/src/main/java/slipfield/standin/Ledger.java
+++ b/src/main/java/slipfield/standin/Ledger.java
@@ -164,6 +164,11 @@
         witness.saw(taken ? Witness.What.HEARD_TAKEN : Witness.What.HEARD_REFUSED, id, -1, -1, -1);
     }
 
+    /** The desk's request was read, and its connection ended without an answer. */
+    void unanswered(String id, int sender) {
+        witness.saw(Witness.What.UNANSWERED, id, sender, -1, -1);
+    }
+
     /** The machine is lost that held what was handed in under ids that begin so: nobody is owed the ends that are missing. */
     void excuse(String idsBegin) {
         for (Order order : orders.values()) {
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -71,6 +71,11 @@
         life.signal("TERM");
     }
 
+    /** SIGHUP: it reads its configuration again. */
+    public void hangUp() throws IOException, InterruptedException {
+        life.signal("HUP");
+    }
+
     /** SIGSTOP: it does nothing until {@link #go}. */
     public void stop() throws IOException, InterruptedException {
         life.signal("STOP");
--- a/src/main/java/slipfield/standin/TrialWorld.java
+++ b/src/main/java/slipfield/standin/TrialWorld.java
@@ -188,9 +188,14 @@
         return PortLease.take().address();
     }
 
+    /** Where the clients of a sender connect to, by its number from 0. */
+    public InetSocketAddress sender(int number) {
+        return ports.get(number).address();
+    }
+
     /** Where desks connect to; the first sender, where there are several. */
     public InetSocketAddress sender() {
-        return ports.get(0).address();
+        return sender(0);
     }
 
     /** The folder of a sender of several, by its number from 0. */
--- a/src/main/java/slipfield/standin/Witness.java
+++ b/src/main/java/slipfield/standin/Witness.java
@@ -12,6 +12,8 @@
         HEARD_TAKEN,
         /** The desk hears that it is not. */
         HEARD_REFUSED,
+        /** A sender has read the desk's request and closed the connection without an answer. */
+        UNANSWERED,
         /** A venue has an order whole, and runs it; {@code value}: 1 if it must not run twice, else 0. */
         RUN,
         /** A venue has an order whole, knows its key, and does not run it again; {@code value}: as for {@link #RUN}. */
--- a/src/test/java/slipfield/rig/check/CheckersTest.java
+++ b/src/test/java/slipfield/rig/check/CheckersTest.java
@@ -59,6 +59,20 @@
         assertEquals(List.of("after"), broken());
     }
 
+    /** Guards against a sender that ends with requests read and not answered. */
+    @Test
+    void aRequestThatWasReadAndNotAnsweredIsSeenUnlessAKillCutItOff() {
+        saw(0, What.HANDED_IN, "a", 1, -1, 5000);
+        saw(3400, What.UNANSWERED, "a", 1, -1, -1);
+        assertEquals(List.of("unanswered"), broken());
+        saw(3300, What.ENDED, "", 2, -1, -1);
+        assertEquals(List.of("unanswered"), broken());
+        saw(3300, What.ENDED, "", 1, -1, -1);
+        assertEquals(List.of(), broken());
+        saw(0, What.TERMINATED, "", 1, -1, -1);
+        assertEquals(List.of("unanswered"), broken(), "SIGTERM came before it");
+    }
+
     /** Guards against a request that is answered 503 and forwarded all the same, by this life or the next. */
     @Test
     void aCallForWhatWasRefusedIsSeen() {
