A start that waits for its port says so once, with the address, and again when it goes on

Operators saw, where another process answers at a sender's address: ten lines in 200 ms, then one a second for 20 s, and nothing when it went on.

Retry tells its first failure with cause and time limit, and start.went_on with the count and the time. Limit and pause are as they were.

The tests of starts that meet failing sockets and disks pass (FailingCallsTest.aStart*).

--- a/src/main/java/slipfield/retry/Retry.java
+++ b/src/main/java/slipfield/retry/Retry.java
@@ -24,10 +24,15 @@
 
     /** The step's result; its last failure once {@code mostMs} are over. {@code what} names it in the log. */
     public static <T> T within(long mostMs, String what, Step<T> step) throws IOException {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mostMs);
-        while (true) {
+        long begun = System.nanoTime();
+        long end = begun + TimeUnit.MILLISECONDS.toNanos(mostMs);
+        for (int failed = 0;; failed++) {
             try {
-                return step.run();
+                T result = step.run();
+                if (failed > 0) {
+                    Log.warn("start.went_on", "step", what, "failed", failed, "after_ms", msSince(begun));
+                }
+                return result;
             } catch (NoSuchFileException | AccessDeniedException e) {
                 // No moment's failure.
                 throw e;
@@ -35,12 +40,18 @@
                 if (System.nanoTime() >= end) {
                     throw e;
                 }
-                Log.warn("start.tried_again", "step", what, "cause", e);
+                if (failed == 0) {
+                    Log.warn("start.tried_again", "step", what, "until_ms", mostMs, "cause", e);
+                }
             }
             pause();
         }
     }
 
+    private static long msSince(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+
     private static void pause() throws IOException {
         try {
             Thread.sleep(PAUSE_MS);
