A fault over one held message, or in a timer, is told and does not end what hangs on it

Callers would have seen, after such a fault: a restarted sender that takes up nothing more, is never ready, and has no line in its log.

Why this works.

--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -30,6 +30,7 @@
 import slipfield.amqp.codec.FrameEncoder;
 import slipfield.amqp.decide.Backpressure;
 import slipfield.config.Config;
+import slipfield.log.LoggedTask;
 import slipfield.retry.Retry;
 import slipfield.socket.AcceptLoop;
 import slipfield.socket.Listener;
@@ -105,7 +106,7 @@
             SslContext context = builder.build();
             addresses.add(bind(tls.listen(), channel -> channel.pipeline().addLast(context.newHandler(channel.alloc()))));
         }
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(LoggedTask.of("amqp.sweep", this::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return addresses;
     }
 
--- a/src/main/java/slipfield/core/Durability.java
+++ b/src/main/java/slipfield/core/Durability.java
@@ -107,7 +107,7 @@
         try {
             journal.repair();
             mended();
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
             failedSince(begunNanos);
             Log.error("journal.still_unwritten", "for_ms", brokenMs(), "ends_held", ended.size(), "cause", e);
             loop.schedule(this::repair, pauseMs, TimeUnit.MILLISECONDS);
--- a/src/main/java/slipfield/core/Recovery.java
+++ b/src/main/java/slipfield/core/Recovery.java
@@ -9,6 +9,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import slipfield.journal.Held;
+import slipfield.log.Log;
+import slipfield.log.LoggedTask;
 import slipfield.recovery.Plan;
 
 /**
@@ -73,7 +75,7 @@
         if (fresh || left.isEmpty()) {
             listed();
         } else {
-            loop.schedule(this::listed, FRESH_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(LoggedTask.of("recovery.listed", this::listed), FRESH_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -116,7 +118,7 @@
             again(0);
         } else if (!listed) {
             waiting = true;
-            loop.schedule(this::look, LOOK_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(LoggedTask.of("recovery.look", this::look), LOOK_MS, TimeUnit.MILLISECONDS);
         } else if (plan.left() > 0) {
             takeUp(plan.next());
         } else {
@@ -126,7 +128,7 @@
 
     private void again(long delayMs) {
         // By the clock, not at once: the sockets are looked at in between.
-        loop.schedule(this::step, delayMs, TimeUnit.MILLISECONDS);
+        loop.schedule(LoggedTask.of("recovery.step", this::step), delayMs, TimeUnit.MILLISECONDS);
     }
 
     /** Still no list: what has run out of time meanwhile is ended without one. */
@@ -142,13 +144,22 @@
         long now = wallMs.getAsLong();
         for (long number : slice.numbers()) {
             Held held = left.remove(number);
-            if (slice.step() == Plan.Step.TELL) {
-                steps.tell(held);
-            } else {
-                resumed += slice.step() == Plan.Step.RESUME ? 1 : 0;
-                steps.resume(held, leftMs(held, now));
+            try {
+                takeUp(held, slice.step(), now);
+            } catch (RuntimeException e) {
+                // The others have to be ended all the same; the journal still holds this one.
+                Log.error("recovery.message_fault", "message", held.id, "cause", e);
             }
         }
         again(0);
     }
+
+    private void takeUp(Held held, Plan.Step step, long now) {
+        if (step == Plan.Step.TELL) {
+            steps.tell(held);
+        } else {
+            resumed += step == Plan.Step.RESUME ? 1 : 0;
+            steps.resume(held, leftMs(held, now));
+        }
+    }
 }
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -24,6 +24,7 @@
 import slipfield.journal.LifeClock;
 import slipfield.journal.Owed;
 import slipfield.log.Log;
+import slipfield.log.LoggedTask;
 import slipfield.policy.Relay;
 import slipfield.retry.Retry;
 import slipfield.trace.Flow;
@@ -816,7 +817,7 @@
             stopped.countDown();
             return;
         }
-        loop.schedule(() -> awaitIdle(begun), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(LoggedTask.of("sender.drain", () -> awaitIdle(begun)), DRAIN_POLL_MS, TimeUnit.MILLISECONDS);
     }
 
     private int owed() {
--- a/src/main/java/slipfield/front/http/Intake.java
+++ b/src/main/java/slipfield/front/http/Intake.java
@@ -47,6 +47,7 @@
 import slipfield.journal.Claim;
 import slipfield.journal.Held;
 import slipfield.log.Log;
+import slipfield.log.LoggedTask;
 import slipfield.retry.Retry;
 import slipfield.socket.AcceptLoop;
 import slipfield.socket.Listener;
@@ -172,7 +173,7 @@
 
     @Override
     public InetSocketAddress listen() throws IOException {
-        loop.scheduleWithFixedDelay(crowd::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(LoggedTask.of("front.sweep", crowd::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         acceptLoop = Retry.within(Retry.START_MS, "accept", AcceptLoop::open);
         bootstrap.group(acceptLoop.group(), loop);
         listener = Retry.within(Retry.START_MS, "listen", this::bind);
--- a/src/main/java/slipfield/outcome/ends/Ends.java
+++ b/src/main/java/slipfield/outcome/ends/Ends.java
@@ -19,6 +19,7 @@
 import slipfield.journal.Held;
 import slipfield.journal.Owed;
 import slipfield.log.Log;
+import slipfield.log.LoggedTask;
 
 /**
  * Ends for clients that follow them. Each is told until its cursor came back; a cursor is of one life of the sender, and in
@@ -96,7 +97,7 @@
         this.keep = keep;
         this.epoch = epoch;
         this.heard = heard;
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(LoggedTask.of("ends.sweep", this::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/slipfield/transport/http/Endpoints.java
+++ b/src/main/java/slipfield/transport/http/Endpoints.java
@@ -45,6 +45,7 @@
 import slipfield.core.Transport;
 import slipfield.journal.Held;
 import slipfield.log.Log;
+import slipfield.log.LoggedTask;
 import slipfield.policy.Relay.Outcome;
 import slipfield.policy.Relay.Told;
 import slipfield.policy.Relay.Within;
@@ -115,7 +116,7 @@
     /** Closes idle connections in time, from now on. */
     @Override
     public void start() {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(LoggedTask.of("endpoints.sweep", this::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** A call of this message, with this answer, on a connection in memory: all but the socket. */
