The rig sees for how long each sender's event loop has waited for a core

FleetRunTest.whatRestartsFindUntriedIsTried failed once beside load (a suite, three copies of a test with ten senders each): calls came 164 and 156 ms into a wait, 150 allowed. The record shows that both senders said nothing from 8,871 to 9,001 and 9,021 ms, and that their calls came out of that gap; it can't show whether they lacked a core or did something for so long.

Each look at the schedule notes schedstat's waiting time of every sender's event loop (CPU_DELAYED). No rule uses it.

--- a/src/main/java/slipfield/rig/FleetRun.java
+++ b/src/main/java/slipfield/rig/FleetRun.java
@@ -193,11 +193,19 @@
                 change(network, world, holding, now);
                 holding = now;
             }
+            seeCpuDelays();
             Thread.sleep(TICK_MS);
         }
         change(network, world, holding, Set.of());
     }
 
+    private void seeCpuDelays() {
+        for (int i = 0; i < senders.size(); i++) {
+            int sender = i;
+            senders.get(i).cpuDelayNanos().ifPresent(nanos -> record.saw(What.CPU_DELAYED, "", sender, -1, nanos / 1e6));
+        }
+    }
+
     private void change(Network network, TrialWorld world, Set<Fault> before, Set<Fault> now)
             throws IOException, InterruptedException {
         network.set(now);
--- a/src/main/java/slipfield/standin/Child.java
+++ b/src/main/java/slipfield/standin/Child.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A command of this program as a process of its own: started, awaited by a line of its log, killed. */
 final class Child implements AutoCloseable {
@@ -16,7 +17,12 @@
     private static final long END_S = 10;
     private static final long LOOK_MS = 10;
 
+    /** What the name of the sender's event loop begins with. */
+    private static final String EVENT_LOOP = "multiThreadIoEv";
+
     private final Process process;
+    /** The event loop's folder in /proc; null until it was found. */
+    private Path eventLoop;
 
     /**
      * Starts it, and waits until its log holds the line.
@@ -60,6 +66,34 @@
         return process.info().totalCpuDuration().map(used -> used.toNanos() / 1000);
     }
 
+    /**
+     * For how long its event loop has waited for a core while it had something to do, over its life, if the system tells (the
+     * second figure of schedstat).
+     */
+    Optional<Long> cpuDelayNanos() {
+        try {
+            if (eventLoop == null) {
+                eventLoop = findEventLoop();
+            }
+            return eventLoop == null ? Optional.empty()
+                    : Optional.of(Long.parseLong(Files.readString(eventLoop.resolve("schedstat")).split(" ")[1]));
+        } catch (IOException e) {
+            // The process is gone, or the system keeps no such account.
+            return Optional.empty();
+        }
+    }
+
+    private Path findEventLoop() throws IOException {
+        try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(process.pid()), "task"))) {
+            for (Path thread : threads.toList()) {
+                if (Files.readString(thread.resolve("comm")).startsWith(EVENT_LOOP)) {
+                    return thread;
+                }
+            }
+        }
+        return null;
+    }
+
     /** Its resident memory in kB, if the system tells. */
     Optional<Long> residentKb() throws IOException {
         Path status = Path.of("/proc", Long.toString(process.pid()), "status");
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -19,7 +19,7 @@
     private final List<String> wrapper;
     private final List<String> options;
     private final Map<String, String> environment = new HashMap<>();
-    private Child life;
+    private volatile Child life;
     private int lives;
 
     /**
@@ -96,6 +96,11 @@
         return life.cpuMicros();
     }
 
+    /** For how long the event loop of this life has waited for a core while it had something to do, if the system tells. */
+    public Optional<Long> cpuDelayNanos() {
+        return life == null ? Optional.empty() : life.cpuDelayNanos();
+    }
+
     /** Resident memory of the process of this life in kB, if the system tells. */
     public Optional<Long> residentKb() throws IOException {
         return life.residentKb();
--- a/src/main/java/slipfield/standin/Witness.java
+++ b/src/main/java/slipfield/standin/Witness.java
@@ -36,6 +36,8 @@
         TOLD_DRAIN,
         /** A sender is told that a venue serves again. */
         TOLD_SERVING,
+        /** A sender's event loop has waited for a core; {@code value}: for how long in this life, in ms. */
+        CPU_DELAYED,
         /** A sender's process is told to end, by SIGTERM. */
         TERMINATED,
         /** A sender's process is stopped, by SIGSTOP. */
