Calls of a turn that took long are looked at again once the sockets have been read

Sender.endTurn decides, records, sends notices, and then makes its calls. What tells a wait lies unread in a socket as long as that takes; kept connections were written without asking again.

Ruled out: links and venues, which serve other senders meanwhile. The crossing forced: a turn of 60 ms with the wait unread, the call began at once.

Why this works. Calls made over 30 ms after their turn began are put off by one round, in which the sockets are read, and then asked for by mayBegin, as those that had to be connected are; one that is called off meanwhile is never made.

SenderPortsTest.aWaitThatIsToldDuringALongTurnHoldsForWhatThatTurnDecided failed before and passes.

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -51,6 +52,11 @@
     private static final long GONE_MS = 60_000;
     /** A message that is ended so much after it was due is traced: half of what the rules leave. */
     private static final double LATE_END_MS = 150;
+    /**
+     * What was decided so long before it can be written is looked at again, once the sockets have been: an answer that tells a
+     * wait may lie unread in one. Well within the 100 ms after a wait in which calls are let through (PROTOCOL).
+     */
+    private static final double STALE_DECISION_MS = 30;
     /** How long a rehearsal may keep the sender from listening: less where messages are held. */
     private static final long REHEARSE_MS = 4000;
     private static final long REHEARSE_HELD_MS = 300;
@@ -84,6 +90,8 @@
     private final Map<Long, Transport.Attempt> calls = new HashMap<>();
     /** Calls that the module has decided in this turn: they are made when its ends are on their way. */
     private final List<Decided> decided = new ArrayList<>();
+    /** Of a turn that took long, calls that are looked at again in a moment, by message and attempt. */
+    private final Map<Long, Decided> stale = new LinkedHashMap<>();
     private final Relay relay;
     private final Admission admission;
     private final Trace trace = TRACED ? new Trace(System.err) : null;
@@ -106,7 +114,8 @@
         return message << 16 | attempt;
     }
 
-    private record Decided(Held held, int attempt, long endpoint, Relay.Within within) {
+    /** A call; {@code atMs}: the turn that it was decided in, by the module's time. */
+    private record Decided(Held held, int attempt, long endpoint, Relay.Within within, double atMs) {
     }
 
     /**
@@ -342,22 +351,46 @@
     /** Unrecorded an attempt could run twice: it is not made. */
     private void notMade(Held held, int attempt) {
         Log.warn("attempt.unrecorded", "message", held.id, "attempt", attempt);
+        notBegun(held, attempt);
+    }
+
+    /** Not one byte of the attempt has left: it has surely not run. */
+    private void notBegun(Held held, int attempt) {
         held.attempts.get(attempt).neverRan = true;
         loop.execute(() -> attemptEnded(held, attempt, Relay.Outcome.NOT_SENT, false, 0, Relay.Told.NOTHING, 0));
     }
 
     private void makeCalls() {
-        long decidedNanos = startNanos + (long) (clock * 1e6);
-        for (Decided d : decided) {
-            if (FLOWS) {
-                Flow.step("out", d.held.id, d.attempt, d.held.destination, endpointIds.get(d.endpoint));
-            }
-            calls.put(out(d.held.number, d.attempt),
-                    transport.attempt(d.held, d.attempt, d.endpoint, d.within, decidedNanos));
+        if (!decided.isEmpty() && now() - clock > STALE_DECISION_MS) {
+            decided.forEach(d -> stale.put(out(d.held.number, d.attempt), d));
+            // By the clock, not at once: the sockets are looked at in between.
+            loop.schedule(LoggedTask.of("sender.calls", this::makeStaleCalls), 0, TimeUnit.MILLISECONDS);
+        } else {
+            decided.forEach(this::call);
         }
         decided.clear();
     }
 
+    private void makeStaleCalls() {
+        List<Decided> again = List.copyOf(stale.values());
+        stale.clear();
+        for (Decided d : again) {
+            if (relay.mayBegin(now(), d.held.number, d.attempt)) {
+                call(d);
+            } else {
+                notBegun(d.held, d.attempt);
+            }
+        }
+    }
+
+    private void call(Decided d) {
+        if (FLOWS) {
+            Flow.step("out", d.held.id, d.attempt, d.held.destination, endpointIds.get(d.endpoint));
+        }
+        long decidedNanos = startNanos + (long) (d.atMs * 1e6);
+        calls.put(out(d.held.number, d.attempt), transport.attempt(d.held, d.attempt, d.endpoint, d.within, decidedNanos));
+    }
+
     /** A fault in one message's handling must not take the others down with the process. */
     private static void fault(RuntimeException e) {
         Log.error("module.fault", "cause", e, "at", List.of(e.getStackTrace()).stream().limit(5).toList());
@@ -390,13 +423,18 @@
             notMade(held, number);
             return;
         }
-        decided.add(new Decided(held, number, endpoint, within));
+        decided.add(new Decided(held, number, endpoint, within, clock));
     }
 
     @Override
     public void cancel(long message, int attempt) {
         record();
         makeCalls();
+        Decided late = stale.remove(out(message, attempt));
+        if (late != null) {
+            notBegun(late.held, attempt);
+            return;
+        }
         Transport.Attempt call = calls.get(out(message, attempt));
         if (call != null) {
             call.cancel();
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -16,6 +16,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -37,6 +39,8 @@
 /** The core among parts in memory: what its ports promise to fronts, transports, directories and outcomes. */
 class SenderPortsTest {
     private static final Claim ASKS = new Claim("queue", "desk-1", true, true);
+    private static final long WAIT_MS = 600;
+    private static final long LONG_TURN_MS = 60;
     private static final Claim DROPS = new Claim("queue", "desk-2", true, false);
 
     @TempDir
@@ -206,7 +210,7 @@
     }
 
     private <T> T on(Supplier<T> asked) {
-        return sender.loop().submit(asked::get).syncUninterruptibly().getNow();
+        return sender.loop().inEventLoop() ? asked.get() : sender.loop().submit(asked::get).syncUninterruptibly().getNow();
     }
 
     /** A front's way to hand in: what is known of the id first, then the message itself. */
@@ -251,6 +255,31 @@
         assertEquals("DELIVERED", handIn("one", "order", ASKS));
     }
 
+    /**
+     * Guards against a call that is written into a told wait: its turn took long, and the answer that tells the wait lay unread
+     * between the decision and the write.
+     */
+    @Test
+    void aWaitThatIsToldDuringALongTurnHoldsForWhatThatTurnDecided() throws Exception {
+        assertEquals("taken", handIn("refused", "order", Claim.PLATFORM));
+        Stub.await("its attempt", () -> world.out.size() == 1);
+        World.Out refused = world.out.remove(0);
+        AtomicLong toldNanos = new AtomicLong();
+        on(() -> {
+            // Comes with the sockets' next turn, as what lies unread in one of them.
+            sender.loop().schedule(() -> {
+                toldNanos.set(System.nanoTime());
+                refused.ends().ended(refused, Relay.Outcome.FULL, false, WAIT_MS, Relay.Told.NOTHING);
+            }, 0, TimeUnit.MILLISECONDS);
+            String taken = handIn("decided", "order", Claim.PLATFORM);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(LONG_TURN_MS));
+            return taken;
+        });
+        Stub.await("an attempt after the wait", () -> !world.out.isEmpty());
+        long afterMs = TimeUnit.NANOSECONDS.toMillis(world.out.get(0).startedNanos() - toldNanos.get());
+        assertTrue(afterMs >= WAIT_MS - 1, "an attempt began " + afterMs + " ms after the wait was told");
+    }
+
     /** One connection, on which a request has been read and has no answer yet; it is answered in a later turn. */
     private final class ReadAndUnanswered implements Front {
         private final EventLoop on = sender.loop();
