--- a/src/main/java/slipfield/standin/Child.java
+++ b/src/main/java/slipfield/standin/Child.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -20,6 +22,13 @@
     /** What the name of the sender's event loop begins with. */
     private static final String EVENT_LOOP = "multiThreadIoEv";
 
+    /** All that this process has started: they end with it, also where it is told to end in the middle of a run. */
+    private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
+
+    static {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly), "children"));
+    }
+
     private final Process process;
     /** The event loop's folder in /proc; null until it was found. */
     private Path eventLoop;
@@ -42,6 +51,7 @@
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().putAll(environment);
         process = builder.start();
+        STARTED.add(process);
         for (long waited = 0; !Files.readString(log).contains(ready); waited += LOOK_MS) {
             if (!process.isAlive() || waited > START_MS) {
                 process.destroyForcibly();
@@ -106,6 +116,7 @@
 
     @Override
     public void close() {
+        STARTED.remove(process);
         process.destroy();
         try {
             if (!process.waitFor(END_S, TimeUnit.SECONDS)) {
