Review case 1: a clump that is still in hand when the event loop ends

Cause: with a clump of 60 orders all had run in one run of ten before the event loop ended, so that only the mute process showed the fault.

--- a/review/src/BadClients.java
+++ b/review/src/BadClients.java
@@ -26,7 +26,7 @@
     private static final long GRACE_MS = 350;
     /** The usual clients' orders: one by one, as a clump just before the bad clients come, and one by one meanwhile. */
     private static final int BEFORE = 40;
-    private static final int CLUMP = 60;
+    private static final int CLUMP = 100;
     private static final int DURING = 50;
 
     private static final AtomicInteger ORDERS = new AtomicInteger();
