Review case 2: clients are told of orders as delivered that a venue answered with 410

Cause: HttpTransport reports a 410 as not sent and over, and Sender.attemptEnded treats that as a delivery: desks that follow GET /ends hear delivered, publishers over AMQP an ack, for an order that never ran.

The lost link becomes case 3.

--- a/review/src/AmqpBroker.java
+++ b/review/src/AmqpBroker.java
@@ -223,7 +223,7 @@
                 AmqpWire.text(m, "");
                 AmqpWire.text(m, queue);
             });
-            wire.sendContent(1, message.correlationId, message.messageId, message.body);
+            wire.sendContent(1, message.correlationId, "", message.messageId, message.body);
         }
     }
 }
--- a/review/src/AmqpPublisher.java
+++ b/review/src/AmqpPublisher.java
@@ -99,8 +99,8 @@
         return unconfirmed.size();
     }
 
-    /** Publishes a message with this message-id. */
-    synchronized void publish(String exchange, String key, String messageId, String body) throws IOException {
+    /** Publishes a message with this message-id, which is the key of its order too, and this time to live. */
+    synchronized void publish(String exchange, String key, String messageId, long expirationMs, String body) throws IOException {
         unconfirmed.put(++lastTag, messageId);
         wire.send(1, 60_040, m -> {
             m.writeShort(0);
@@ -108,12 +108,7 @@
             AmqpWire.text(m, key);
             m.writeByte(0);
         });
-        wire.sendContent(1, "", messageId, body);
-    }
-
-    /** Resets the connection, as a network does that loses it. */
-    void reset() throws IOException {
-        wire.reset();
+        wire.sendContent(1, messageId, Long.toString(expirationMs), messageId, body);
     }
 
     @Override
--- a/review/src/AmqpWire.java
+++ b/review/src/AmqpWire.java
@@ -14,6 +14,7 @@
     private static final int FRAME_END = 0xCE;
     /** Flags of a content header's properties. */
     private static final int CORRELATION_ID = 1 << 10;
+    private static final int EXPIRATION = 1 << 8;
     private static final int MESSAGE_ID = 1 << 7;
 
     final Socket socket;
@@ -59,20 +60,20 @@
         frame(METHOD, channel, bytes.toByteArray());
     }
 
-    /** Sends the content of a method; an empty id is left out. */
-    void sendContent(int channel, String correlationId, String messageId, String body) throws IOException {
+    /** Sends the content of a method; an empty property is left out. */
+    void sendContent(int channel, String correlationId, String expiration, String messageId, String body) throws IOException {
         byte[] octets = body.getBytes(StandardCharsets.UTF_8);
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream header = new DataOutputStream(bytes);
         header.writeShort(60);
         header.writeShort(0);
         header.writeLong(octets.length);
-        header.writeShort((correlationId.isEmpty() ? 0 : CORRELATION_ID) | (messageId.isEmpty() ? 0 : MESSAGE_ID));
-        if (!correlationId.isEmpty()) {
-            text(header, correlationId);
-        }
-        if (!messageId.isEmpty()) {
-            text(header, messageId);
+        header.writeShort((correlationId.isEmpty() ? 0 : CORRELATION_ID) | (expiration.isEmpty() ? 0 : EXPIRATION)
+                | (messageId.isEmpty() ? 0 : MESSAGE_ID));
+        for (String property : new String[] {correlationId, expiration, messageId}) {
+            if (!property.isEmpty()) {
+                text(header, property);
+            }
         }
         frame(HEADER, channel, bytes.toByteArray());
         frame(BODY, channel, octets);
--- a/review/src/BrokerLinkLost.java
+++ b/review/src/BrokerLinkLost.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * Case 2: two senders consume one queue of a broker, whose orders must not run twice. The connection of one of them to the broker
+ * Case 3: two senders consume one queue of a broker, whose orders must not run twice. The connection of one of them to the broker
  * is reset once while deliveries are out on it. Each order may run once at most.
  */
 final class BrokerLinkLost {
--- a/review/src/World.java
+++ b/review/src/World.java
@@ -13,11 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.GeneralSecurityException;
-import java.security.MessageDigest;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -80,11 +77,6 @@
         System.exit(code);
     }
 
-    /** A message-id as publishers make them: the SHA-256 of what they publish, in hex digits. */
-    static String hash(String text) throws GeneralSecurityException {
-        return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
-    }
-
     static boolean trouble() {
         return !"0".equals(System.getenv("TROUBLE"));
     }
@@ -344,6 +336,8 @@
         /** When the first 200 was written for a message. */
         final Map<String, Double> delivered = new ConcurrentHashMap<>();
         volatile long answerMs;
+        /** A call that is told to have less time left than this is out of time: it is answered 410 and does not run. */
+        volatile long leastBudgetMs;
         private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
         Venue(String name, long answerMs) throws IOException {
@@ -369,6 +363,12 @@
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 while (true) {
                     Http request = World.read(in);
+                    if (Long.parseLong(request.header("X-Budget-Ms")) < leastBudgetMs) {
+                        note("%-10s answers 410, out of time: id=%s X-Budget-Ms=%s", name, request.header("X-Call-Id"),
+                                request.header("X-Budget-Ms"));
+                        answer(socket.getOutputStream(), "410 Gone", "", "");
+                        continue;
+                    }
                     Run run = new Run(request.header("X-Call-Id"), request.header("Idempotency-Key"),
                             new String(request.body, StandardCharsets.ISO_8859_1), now());
                     runs.add(run);
@@ -455,10 +455,6 @@
                     + "\"zones\":[\"akl-dc1\"]}";
         }
 
-        Path state() {
-            return state;
-        }
-
         /** Sets an operator's file for AMQP: a queue of this broker is consumed, and its messages are orders for a destination. */
         void consume(AmqpBroker broker, String queue, String messageClass, long destination) throws IOException {
             Files.writeString(own.resolve("secret"), "secret\n");
@@ -477,6 +473,13 @@
             return own.resolve("sender-" + (lives - 1) + ".log");
         }
 
+        /** Sets an operator's file by which clients may follow the ends of their orders. */
+        void ends() throws IOException {
+            Path file = own.resolve("clients.yaml");
+            Files.writeString(file, "ends:\n  keep: 1m\n");
+            environment.put("SLIPFIELD_CLIENTS", file.toString());
+        }
+
         /** Sets an operator's file for AMQP, in which a user may publish orders for a destination; returns the port. */
         int amqp(String user, String password, String exchange, String messageClass, long destination) throws Exception {
             int amqpPort = freePort();
@@ -494,19 +497,6 @@
             return amqpPort;
         }
 
-        /** A planned restart: SIGTERM, SIGKILL 3.7 s later if it has not ended, and a start 0.6 s after that. */
-        void restart() throws Exception {
-            signal("TERM");
-            if (!process.waitFor(3700, TimeUnit.MILLISECONDS)) {
-                kill();
-            }
-            note("sender     %s has ended", name);
-            sleep(600);
-            if (!start()) {
-                throw new IOException("the sender is not ready after its restart");
-            }
-        }
-
         /** Starts it and waits until it answers that it is ready. */
         boolean start() throws Exception {
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile())
@@ -534,20 +524,6 @@
             }
         }
 
-        void kill() throws Exception {
-            process.destroyForcibly().waitFor();
-            note("sender     %s ended by SIGKILL", name);
-        }
-
-        void signal(String signal) throws Exception {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-            note("sender     %s gets SIG%s", name, signal);
-        }
-
-        long pid() {
-            return process.pid();
-        }
-
         @Override
         public void close() throws IOException {
             if (process != null) {
@@ -574,6 +550,17 @@
         return all;
     }
 
+    /** Asks the sender for a path; the answer. */
+    static Http get(int port, String path, int waitMs) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress("127.0.0.1", port), waitMs);
+            socket.setSoTimeout(waitMs);
+            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: app.svc\r\n\r\n").getBytes(
+                    StandardCharsets.US_ASCII));
+            return read(new BufferedInputStream(socket.getInputStream()));
+        }
+    }
+
     /** Hands an order in on a connection of its own; the answer's status, or 0 if none came. */
     int handIn(int port, byte[] request, int waitMs) {
         try (Socket socket = new Socket()) {
