A fatal error on any thread ends the process instead of leaving it mute

Cause: Netty only logs the Error of a task, stores that of a scheduled task in a future that nobody reads (a periodic task does not run again), closes a listening socket whose accept met one, and ends the event loop's thread after one in its own code. The main thread waits for a drain that nobody begins. On other threads an Error ends the thread alone, and its task never reports its result (work.Worker, logins).

Ruled out that the loop hangs: it does not exist any more, or is idle with processReads not scheduled again.

Why this works: GuardedLoopGroup reports the Error of each task, of each scheduled task and of the loop itself; handlers report theirs in exceptionCaught, other threads by the default handler. FatalErrors logs process.fatal and halts with code 70, without the drain, which would wait for the loop for ever.

--- a/src/main/java/slipfield/agent/AgentClient.java
+++ b/src/main/java/slipfield/agent/AgentClient.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import slipfield.config.Config;
+import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 import slipfield.socket.Connector;
 import slipfield.socket.StreamChannel;
@@ -187,6 +188,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.check("agent connection", cause);
             ctx.close();
         }
     }
--- a/src/main/java/slipfield/amqp/client/BrokerLink.java
+++ b/src/main/java/slipfield/amqp/client/BrokerLink.java
@@ -28,6 +28,7 @@
 import slipfield.amqp.decide.HeartbeatMonitor;
 import slipfield.amqp.decide.RedialBackoff;
 import slipfield.amqp.decide.Tuning;
+import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 import slipfield.socket.Connector;
 import slipfield.socket.StreamChannel;
@@ -315,6 +316,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.check("broker connection", cause);
             why = cause.toString();
             if (!(cause instanceof IOException)) {
                 Log.warn("amqp.broker_failed", "broker", broker.name(), "cause", cause);
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.FileChannel;
@@ -28,6 +26,7 @@
 import slipfield.log.LoggedTask;
 import slipfield.policy.DeliveryPolicy;
 import slipfield.retry.Retry;
+import slipfield.socket.GuardedLoopGroup;
 import slipfield.trace.Flow;
 import slipfield.trace.Trace;
 
@@ -71,7 +70,7 @@
     private final SenderComponents components;
     private final long acceptMs;
     private final long drainMs;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new GuardedLoopGroup();
     private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -29,6 +29,7 @@
 import slipfield.journal.AnswerRecipient;
 import slipfield.journal.ProcessClock;
 import slipfield.journal.PendingAnswer;
+import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 import slipfield.outcome.ends.ClientAnswers;
 import slipfield.outcome.ends.ClientsConfig;
@@ -89,6 +90,7 @@
         try {
             Daemon daemon = new Daemon(Config.read(env));
             SighupHandler.handle(() -> daemon.reload(env));
+            FatalErrors.endProcess();
             daemon.start();
             Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "drain"));
             daemon.sender.await();
--- a/src/main/java/slipfield/directory/consul/ConsulDirectory.java
+++ b/src/main/java/slipfield/directory/consul/ConsulDirectory.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Promise;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
@@ -21,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import slipfield.config.BadInput;
 import slipfield.membership.Instance;
+import slipfield.socket.GuardedLoopGroup;
 
 /**
  * Watches the services that the operator named, or that have a tag, in Consul: one blocking query per service, and one for
@@ -46,7 +45,7 @@
     private static final long DEREGISTER_WAIT_MS = 1000;
     private static final ConsulSettings.Mapping UNMAPPED = new ConsulSettings.Mapping(Optional.empty(), "", "");
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = new GuardedLoopGroup();
     private final EventLoop loop = group.next();
     private final AgentAccess access;
     private final ConsulSettings settings;
--- a/src/main/java/slipfield/socket/AcceptLoop.java
+++ b/src/main/java/slipfield/socket/AcceptLoop.java
@@ -1,8 +1,6 @@
 package slipfield.socket;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
@@ -23,8 +21,7 @@
     /** Starts the event loop. Fails if the system cannot open a selector, for example when file descriptors have run out. */
     public static AcceptLoop open() throws IOException {
         try {
-            return new AcceptLoop(new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("accept", true),
-                    NioIoHandler.newFactory()));
+            return new AcceptLoop(new GuardedLoopGroup(new DefaultThreadFactory("accept", true)));
         } catch (IllegalStateException e) {
             throw new IOException("no selector can be opened", e);
         }
--- a/src/main/java/slipfield/socket/ListenerChannel.java
+++ b/src/main/java/slipfield/socket/ListenerChannel.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 
 /**
@@ -80,6 +81,8 @@
     public static final class AcceptFailureHandler extends ChannelInboundHandlerAdapter {
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // Netty has closed the listener after any cause but an IOException.
+            FatalErrors.check("listener", cause);
             Log.warn("front.accept_failed", "closing", false, "cause", cause);
             Channel listener = ctx.channel();
             if (!(listener instanceof ServerChannel) || !(cause instanceof IOException)) {
--- a/src/main/java/slipfield/transport/http/HttpTransport.java
+++ b/src/main/java/slipfield/transport/http/HttpTransport.java
@@ -44,6 +44,7 @@
 import slipfield.config.Params;
 import slipfield.core.Transport;
 import slipfield.journal.PendingMessage;
+import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 import slipfield.log.LoggedTask;
 import slipfield.policy.DeliveryPolicy.AttemptOutcome;
@@ -732,6 +733,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.check("endpoint connection", cause);
             ctx.close();
         }
 
