Clients are read no faster than their requests are processed

Cause: HttpFrontend queued each read without a limit: up to 16 reads of 16 KB from each connection in an iteration of the loop, of which 16 in all are processed. And pausing a connection did not stop the reading: Netty's aggregator and decoder request another read after each one that completed no message if automatic reading is off, so one that is paused within a request is read on.

Evidence: a histogram before the end shows 45.9 of 46 MB in 2,750 queued reads. With a limit on the queue alone the case still failed; the heap dump has 1.1 MB a connection with autoRead 0 and readPending 1. Ruled out: answers that are not read, decoded requests, read buffers (docs/incidents has the figures). Looked for on related paths: incomplete bodies had no common limit (560 clients filled 45 of 46.5 MB).

Why this works: ReceiveQueue gives connections their turn and pauses one that has a largest request waiting, or anything while all have a sixteenth of the heap; AutoReadGate drops reads that handlers request meanwhile. What is not read slows its sender down. Beyond a quarter of the heap the incomplete request that began first is answered 503. Requests behind a poll now wait for its answer.

--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -1,6 +1,7 @@
 package slipfield.front.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -16,8 +17,10 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
@@ -29,13 +32,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -46,10 +46,12 @@
 import slipfield.core.MessageIntake;
 import slipfield.journal.AnswerRecipient;
 import slipfield.journal.PendingMessage;
+import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 import slipfield.log.LoggedTask;
 import slipfield.retry.Retry;
 import slipfield.socket.AcceptLoop;
+import slipfield.socket.AutoReadGate;
 import slipfield.socket.ListenerChannel;
 import slipfield.trace.Trace;
 
@@ -75,7 +77,9 @@
      */
     private static final int READS_PER_ITERATION = 16;
     /** Limit on the bytes of one read: it also limits the work that one read can cause. */
-    private static final int MAX_READ_BYTES = 16 * 1024;
+    static final int MAX_READ_BYTES = 16 * 1024;
+    /** Limit on the received data of one connection that is not decoded yet: a largest request with its header. */
+    private static final int MAX_UNREAD_BYTES_PER_CONNECTION = MAX_BODY_BYTES + MAX_READ_BYTES;
 
     private final EventLoop loop;
     private final MessageIntake intake;
@@ -85,8 +89,8 @@
     private final int maxClients;
     private final ClientConnections connections;
     private final ServerBootstrap bootstrap;
-    /** Data that was received and is not decoded yet. */
-    private final Deque<ReceivedData> receivedData = new ArrayDeque<>();
+    private final ReceiveQueue<ClientConnection> receiveQueue;
+    private final IncompleteBodies<ClientConnection> incompleteBodies;
     private final List<AcceptedMessage> accepted = new ArrayList<>();
     /** Null unless the sender is traced. */
     private Trace trace;
@@ -95,12 +99,27 @@
     /** Whether established connections may still wait to be accepted. */
     private boolean accepting;
     private boolean closing;
+    /** Whether {@link #processReads} will run. */
+    private boolean processingScheduled;
 
     /** An accepted message whose 202 must wait until it is in the journal. */
     private record AcceptedMessage(ClientConnection client, PendingMessage message, boolean keepAlive) {
     }
 
-    private record ReceivedData(ClientConnection client, ChannelHandlerContext ctx, Object bytes) {
+    /**
+     * Limits on the memory for what clients have sent, for all connections together.
+     *
+     * @param unreadBytes limit on the received data that is not decoded yet
+     * @param incompleteBodyBytes limit on the bodies of which a part was received
+     */
+    record MemoryLimits(long unreadBytes, long incompleteBodyBytes) {
+        private static final int HEAP_PER_UNREAD_DATA = 16;
+        private static final int HEAP_PER_INCOMPLETE_BODIES = 4;
+
+        static MemoryLimits ofHeap() {
+            long heap = Runtime.getRuntime().maxMemory();
+            return new MemoryLimits(heap / HEAP_PER_UNREAD_DATA, heap / HEAP_PER_INCOMPLETE_BODIES);
+        }
     }
 
     /**
@@ -128,6 +147,14 @@
      * @param maxClients the limit on client connections
      */
     public HttpFrontend(EventLoop loop, InetSocketAddress address, int maxClients, MessageIntake intake, Extensions extensions) {
+        this(loop, address, maxClients, intake, extensions, MemoryLimits.ofHeap());
+    }
+
+    /** Creates a frontend with these limits on its memory. */
+    HttpFrontend(EventLoop loop, InetSocketAddress address, int maxClients, MessageIntake intake, Extensions extensions,
+            MemoryLimits limits) {
+        this.receiveQueue = new ReceiveQueue<>(limits.unreadBytes(), MAX_UNREAD_BYTES_PER_CONNECTION);
+        this.incompleteBodies = new IncompleteBodies<>(limits.incompleteBodyBytes());
         this.extensions = extensions;
         this.parser = new SubmissionParser(intake, extensions.polling());
         this.address = address;
@@ -157,8 +184,8 @@
 
     private void addHandlers(Channel channel) {
         ClientConnection client = new ClientConnection(channel);
-        channel.pipeline().addLast(client.decoder, new HttpResponseEncoder(), new RequestFramingValidator(),
-                new BodyAggregator(client), client);
+        channel.pipeline().addLast(new AutoReadGate(), client.decoder, new HttpResponseEncoder(),
+                new RequestFramingValidator(), client.aggregator, client);
     }
 
     /** Records the CPU time of processing requests from now on. */
@@ -172,7 +199,7 @@
         addHandlers(memory);
         memory.pipeline().fireChannelActive();
         memory.writeInbound(Unpooled.wrappedBuffer(requests));
-        while (!receivedData.isEmpty()) {
+        while (receiveQueue.hasReady()) {
             processReads();
         }
         memory.finishAndReleaseAll();
@@ -225,47 +252,73 @@
         connections.closeIdle();
     }
 
-    private void enqueue(ReceivedData read) {
-        receivedData.add(read);
-        if (receivedData.size() == 1) {
+    /** The memory of the received data that is not decoded yet, in bytes. Called on the event loop. */
+    long unreadBytes() {
+        return receiveQueue.bytes();
+    }
+
+    /** The bytes of the bodies of which a part was received. Called on the event loop. */
+    long incompleteBodyBytes() {
+        return incompleteBodies.bytes();
+    }
+
+    private void scheduleProcessing() {
+        if (!processingScheduled && receiveQueue.hasReady()) {
+            processingScheduled = true;
             loop.execute(this::processReads);
         }
     }
 
-    /**
-     * Processes the oldest reads. Data from a client that has disconnected is discarded: the client has given up waiting and will
-     * submit its message again under another id. Under overload, the delivery of such messages would cost work without any use,
-     * and the repeated submissions would keep the sender overloaded. A client that shuts down its output and still waits for the
-     * answer gets none, but HTTP clients do not do that.
-     */
+    /** Processes the oldest reads, one of each connection in turn. */
     private void processReads() {
         if (trace != null) {
             trace.enter(Trace.Part.READS);
         }
-        for (int i = 0; i < READS_PER_ITERATION && !receivedData.isEmpty(); i++) {
-            ReceivedData first = receivedData.peek();
-            try {
-                if (first.client.channel.isActive()) {
-                    first.client.decoder.decode(first.ctx, first.bytes);
-                } else {
-                    ReferenceCountUtil.release(first.bytes);
+        try {
+            for (int i = 0; i < READS_PER_ITERATION; i++) {
+                ReceiveQueue<ClientConnection>.Source next = receiveQueue.beginTurn();
+                if (next == null) {
+                    break;
                 }
-            } catch (Exception e) {
-                // An error in one request must not leave the following ones unanswered.
-                Log.warn("front.request_failed", "cause", e);
-                first.client.channel.close();
-            } finally {
-                first.client.unread--;
-                receivedData.remove();
+                processRead(next);
+            }
+            answerAccepted();
+        } finally {
+            if (trace != null) {
+                trace.leave();
+            }
+            processingScheduled = receiveQueue.hasReady();
+            if (processingScheduled) {
+                // A scheduled task lets the event loop read from its sockets first, for the endpoint list and for answers.
+                loop.schedule(this::processReads, 0, TimeUnit.MILLISECONDS);
             }
         }
-        answerAccepted();
-        if (trace != null) {
-            trace.leave();
+    }
+
+    /**
+     * Processes a connection's oldest read. Data from a client that has disconnected is discarded: the client has given up
+     * waiting and will submit its message again under another id. Under overload, the delivery of such messages would cost work
+     * without any use, and the repeated submissions would keep the sender overloaded. A client that shuts down its output and
+     * still waits for the answer gets none, but HTTP clients do not do that.
+     */
+    private void processRead(ReceiveQueue<ClientConnection>.Source source) {
+        ClientConnection client = source.connection();
+        if (!client.channel.isActive()) {
+            source.clear();
+            return;
+        }
+        try {
+            client.decoder.decode(source.take());
+        } catch (Exception e) {
+            // An error in one request must not leave the following ones unanswered.
+            Log.warn("front.request_failed", "cause", e);
+            client.channel.close();
+        } finally {
+            receiveQueue.endTurn(source);
         }
-        if (!receivedData.isEmpty()) {
-            // A scheduled task lets the event loop read from its sockets first, for the endpoint list and for answers.
-            loop.schedule(this::processReads, 0, TimeUnit.MILLISECONDS);
+        client.updateReading();
+        for (Optional<ClientConnection> most = incompleteBodies.toGiveUp(); most.isPresent(); most = incompleteBodies.toGiveUp()) {
+            most.get().giveUpBody();
         }
     }
 
@@ -311,20 +364,25 @@
     /** Netty's decoder, which queues received data first and reports whether data remains after a complete request. */
     private final class RequestDecoder extends HttpRequestDecoder {
         private final ClientConnection client;
+        private ChannelHandlerContext context;
 
         RequestDecoder(ClientConnection client) {
             this.client = client;
         }
 
         @Override
-        public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
-            client.dataReceived();
-            client.unread++;
-            enqueue(new ReceivedData(client, ctx, bytes));
+        public void handlerAdded(ChannelHandlerContext ctx) throws Exception {
+            super.handlerAdded(ctx);
+            context = ctx;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            client.dataReceived((ByteBuf) bytes);
         }
 
-        void decode(ChannelHandlerContext ctx, Object bytes) throws Exception {
-            super.channelRead(ctx, bytes);
+        void decode(ByteBuf bytes) throws Exception {
+            super.channelRead(context, bytes);
         }
 
         /** Leaves the headers unchanged: {@link RequestFramingValidator} rejects such a request. */
@@ -338,7 +396,7 @@
     }
 
     /** Collects request bodies. A body over {@link #MAX_BODY_BYTES} is answered with 413, and the rest of it is not read. */
-    private static final class BodyAggregator extends HttpObjectAggregator {
+    private final class BodyAggregator extends HttpObjectAggregator {
         private final ClientConnection client;
 
         BodyAggregator(ClientConnection client) {
@@ -350,6 +408,24 @@
         protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
             client.answerAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
         }
+
+        @Override
+        protected void aggregate(FullHttpMessage aggregated, HttpContent content) throws Exception {
+            super.aggregate(aggregated, content);
+            incompleteBodies.received(client, content.content().readableBytes());
+        }
+
+        @Override
+        protected void finishAggregation(FullHttpMessage aggregated) throws Exception {
+            incompleteBodies.ended(client);
+            super.finishAggregation(aggregated);
+        }
+
+        @Override
+        public void handlerRemoved(ChannelHandlerContext ctx) throws Exception {
+            incompleteBodies.ended(client);
+            super.handlerRemoved(ctx);
+        }
     }
 
     /** A client connection. */
@@ -357,13 +433,14 @@
             implements ClientConnections.Connection {
         private final Channel channel;
         private final RequestDecoder decoder = new RequestDecoder(this);
+        private final BodyAggregator aggregator = new BodyAggregator(this);
         private final ClientConnections.Entry entry = new ClientConnections.Entry(this);
         /** Whether the first byte of the next request has been received. */
         private boolean requestStarted;
         /** Whether a valid submission was received on this connection. */
         private boolean hasSubmitted;
-        /** The number of reads that are not decoded yet; they may contain a complete request. */
-        private int unread;
+        /** The reads that are not decoded yet; they may contain a complete request. */
+        private final ReceiveQueue<ClientConnection>.Source unread = receiveQueue.addSource(this);
         /** The current poll; null unless the state is POLLING. */
         private AnswerPolling.Poll poll;
 
@@ -378,7 +455,7 @@
 
         @Override
         public boolean hasUnread() {
-            return unread > 0;
+            return !unread.isEmpty();
         }
 
         @Override
@@ -389,6 +466,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(entry);
+            unread.clear();
             if (poll != null) {
                 poll.cancel();
                 poll = null;
@@ -396,20 +474,45 @@
         }
 
         /** Data was received: it starts the time limit of the request, and the connection is not idle any more. */
-        private void dataReceived() {
+        private void dataReceived(ByteBuf data) {
             requestStarted = true;
+            if (entry.state() == ClientConnections.State.CLOSING) {
+                // Data that follows the last request may be part of its body.
+                data.release();
+                return;
+            }
             if (entry.state() == ClientConnections.State.IDLE || entry.state() == ClientConnections.State.IDLE_LOW_PRIORITY) {
                 setState(ClientConnections.State.RECEIVING);
             }
+            unread.add(data);
+            updateReading();
+            scheduleProcessing();
         }
 
         private void setState(ClientConnections.State next) {
             connections.setState(entry, next);
+            if (next == ClientConnections.State.CLOSING) {
+                unread.clear();
+            }
+        }
+
+        /**
+         * Reads and processes the client's data, or leaves both for now. It waits while a poll has no answer, since answers must
+         * have the order of their requests, and while the client does not read its answers. Once the last answer was decided,
+         * reading is left as it is.
+         */
+        private void updateReading() {
+            if (entry.state() == ClientConnections.State.CLOSING) {
+                return;
+            }
+            boolean mayProcess = channel.isWritable() && entry.state() != ClientConnections.State.POLLING;
+            unread.suspend(!mayProcess);
+            channel.config().setAutoRead(mayProcess && unread.mayRead());
         }
 
         @Override
         public void timedOut() {
-            if (unread > 0) {
+            if (hasUnread()) {
                 // The sender is late, not the client: the request may have been received completely.
                 return;
             }
@@ -420,6 +523,13 @@
             }
         }
 
+        /** Refuses a request of which only a part has come, to make room for others. */
+        private void giveUpBody() {
+            answerAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests are incomplete");
+            // Its handler releases the part of the body.
+            channel.pipeline().remove(aggregator);
+        }
+
         /** Answers a request that was not read completely. The connection is closed after a short delay. */
         private void answerAndClose(HttpResponseStatus status, String text) {
             setState(ClientConnections.State.CLOSING);
@@ -522,13 +632,13 @@
             }
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             setState(ClientConnections.State.POLLING);
-            // Stop reading: the next request is processed after the answer to this one.
-            channel.config().setAutoRead(false);
+            updateReading();
             String waitMs = parameter(query, "wait_ms");
             poll = polling.poll(peer, parameter(query, "after"), waitMs.isEmpty() ? 0 : Long.parseLong(waitMs), lines -> {
                 poll = null;
                 setState(ClientConnections.State.IDLE);
-                channel.config().setAutoRead(true);
+                updateReading();
+                scheduleProcessing();
                 FullHttpResponse answer = answer(HttpResponseStatus.OK, lines);
                 answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson");
                 send(keepAlive, answer);
@@ -559,15 +669,15 @@
             return channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
         }
 
-        /** Stops reading from a client that does not read its answers. */
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            channel.config().setAutoRead(channel.isWritable() && entry.state() != ClientConnections.State.CLOSING
-                    && entry.state() != ClientConnections.State.POLLING);
+            updateReading();
+            scheduleProcessing();
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.check("client connection", cause);
             if (!(cause instanceof IOException || cause instanceof CodecException)) {
                 Log.warn("front.connection_closed", "cause", cause);
             }
--- /dev/null
+++ b/src/main/java/slipfield/front/http/ReceiveQueue.java
@@ -0,0 +1,128 @@
+package slipfield.front.http;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * The data that was received on client connections and is not decoded yet, in turn over the connections. Its memory is limited:
+ * a connection is not read while it has too much in the queue, or has anything there while all of them together have too much.
+ * What is not read waits in the system's socket buffers, where it slows its sender down. A connection with nothing in the queue
+ * is always read, so the queue holds at most the total limit and one read of each connection.
+ *
+ * @param <C> the type of the connections
+ */
+final class ReceiveQueue<C> {
+    private final long maxBytes;
+    private final long maxSourceBytes;
+    private final Deque<Source> ready = new ArrayDeque<>();
+    private long bytes;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param maxBytes limit on the memory of all reads, in bytes
+     * @param maxSourceBytes limit on the memory of one connection's reads, in bytes
+     */
+    ReceiveQueue(long maxBytes, long maxSourceBytes) {
+        this.maxBytes = maxBytes;
+        this.maxSourceBytes = maxSourceBytes;
+    }
+
+    /** The reads of one connection. */
+    final class Source {
+        private final C connection;
+        private final Deque<ByteBuf> reads = new ArrayDeque<>(2);
+        private long sourceBytes;
+        private boolean suspended;
+        private boolean inTurn;
+
+        Source(C connection) {
+            this.connection = connection;
+        }
+
+        C connection() {
+            return connection;
+        }
+
+        boolean isEmpty() {
+            return reads.isEmpty();
+        }
+
+        /** Whether more may be read from the connection now. */
+        boolean mayRead() {
+            return reads.isEmpty() || sourceBytes < maxSourceBytes && bytes < maxBytes;
+        }
+
+        /** Adds a read, which the queue owns from now on. */
+        void add(ByteBuf read) {
+            reads.addLast(read);
+            count(read.capacity());
+            awaitTurn();
+        }
+
+        /** Removes the oldest read, which the caller owns from now on. */
+        ByteBuf take() {
+            ByteBuf read = reads.removeFirst();
+            count(-read.capacity());
+            return read;
+        }
+
+        /** Sets whether the reads are kept back for now: while they are, the connection gets no turn. */
+        void suspend(boolean newSuspended) {
+            suspended = newSuspended;
+            awaitTurn();
+        }
+
+        /** Discards all reads. */
+        void clear() {
+            while (!reads.isEmpty()) {
+                take().release();
+            }
+        }
+
+        private void count(long more) {
+            sourceBytes += more;
+            bytes += more;
+        }
+
+        private void awaitTurn() {
+            if (!suspended && !inTurn && !reads.isEmpty()) {
+                inTurn = true;
+                ready.addLast(this);
+            }
+        }
+    }
+
+    /** Adds a connection without reads. */
+    Source addSource(C connection) {
+        return new Source(connection);
+    }
+
+    /** The connection whose turn it is; null if none has reads that may be processed. Call {@link #endTurn} after its turn. */
+    Source beginTurn() {
+        while (!ready.isEmpty()) {
+            Source next = ready.removeFirst();
+            next.inTurn = false;
+            if (!next.suspended && !next.reads.isEmpty()) {
+                return next;
+            }
+        }
+        return null;
+    }
+
+    /** Returns a connection to the end of the queue if it has more reads. */
+    void endTurn(Source source) {
+        source.awaitTurn();
+    }
+
+    /** Whether any connection may have a turn. */
+    boolean hasReady() {
+        return !ready.isEmpty();
+    }
+
+    /** The memory of all reads, in bytes. */
+    long bytes() {
+        return bytes;
+    }
+}
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -10,16 +10,20 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.BufferedInputStream;
+import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import slipfield.core.MessageIntake;
@@ -152,6 +156,75 @@
         assertEquals(List.of("id-4"), intake.submittedIds);
     }
 
+    /** Found by a review: the data of clients that sent hundreds of requests at once was read until the heap was full. */
+    @Test
+    void clientsAreReadNoFasterThanTheirRequestsAreProcessed() throws Exception {
+        int clients = 40;
+        int requestsEach = 30;
+        int maxUnreadBytes = 100_000;
+        AtomicLong mostUnread = new AtomicLong();
+        AtomicReference<HttpFrontend> frontend = new AtomicReference<>();
+        EventLoop loop = group.next();
+        frontend.set(new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), clients,
+                new EmptyIntake() {
+                    @Override
+                    public boolean knowsClass(String name) {
+                        mostUnread.accumulateAndGet(frontend.get().unreadBytes(), Math::max);
+                        return false;
+                    }
+                }, HttpFrontend.Extensions.NONE, new HttpFrontend.MemoryLimits(maxUnreadBytes, Long.MAX_VALUE)));
+        InetSocketAddress address = frontend.get().listen();
+        byte[] requests = ("POST /nosuch HTTP/1.1\r\nHost: x\r\nContent-Length: 50000\r\n\r\n" + "x".repeat(50_000)).repeat(requestsEach)
+                .getBytes(StandardCharsets.US_ASCII);
+        for (int i = 0; i < clients; i++) {
+            Socket socket = new Socket(address.getAddress(), address.getPort());
+            sockets.add(socket);
+            Thread sending = new Thread(() -> {
+                try {
+                    socket.getOutputStream().write(requests);
+                } catch (IOException e) {
+                    // The answers that are missing then are noticed below.
+                }
+            });
+            sending.setDaemon(true);
+            sending.start();
+        }
+        for (Socket socket : sockets) {
+            BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+            for (int i = 0; i < requestsEach; i++) {
+                assertEquals("HTTP/1.1 404 Not Found", Stub.read(in, 0).line());
+            }
+        }
+        assertTrue(mostUnread.get() > 0);
+        assertTrue(mostUnread.get() <= maxUnreadBytes + clients * HttpFrontend.MAX_READ_BYTES, mostUnread.toString());
+    }
+
+    /** Several hundred clients that send all but the end of a largest request filled all but the last 2 MB of the heap. */
+    @Test
+    void beyondALimitTheOldestIncompleteRequestsAreRefused() throws Exception {
+        RecordingIntake intake = new RecordingIntake();
+        EventLoop loop = group.next();
+        HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
+                intake, HttpFrontend.Extensions.NONE, new HttpFrontend.MemoryLimits(1_000_000, 100_000));
+        InetSocketAddress address = frontend.listen();
+        for (int i = 0; i < 3; i++) {
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+            Stub.write(sockets.get(i), "POST /order HTTP/1.1\r\nHost: x\r\nX-Call-Id: id-" + i + "\r\nX-Budget-Ms: 9000\r\n"
+                    + "X-Envelope: dest=7\r\nContent-Length: 45000\r\n\r\n" + "x".repeat(44_999));
+            long received = Math.min(2, i + 1) * 44_999;
+            Stub.await("this part has come", () ->
+                    loop.submit(frontend::incompleteBodyBytes).syncUninterruptibly().getNow() == received);
+        }
+        Stub.Message refusal = Stub.read(new BufferedInputStream(sockets.get(0).getInputStream()), 0);
+        assertEquals("HTTP/1.1 503 Service Unavailable", refusal.line());
+        assertEquals("too many requests are incomplete", refusal.body());
+        for (int i = 1; i < 3; i++) {
+            Stub.write(sockets.get(i), "x");
+            assertEquals("no room", Stub.read(new BufferedInputStream(sockets.get(i).getInputStream()), 0).body());
+        }
+        assertEquals(List.of("id-1", "id-2"), intake.submittedIds);
+    }
+
     /** Found on reload days: an orderly shutdown reset connections that a late event loop had not accepted yet. */
     @Test
     void whoHasConnectedBeforeTheListenerClosesIsAnswered() throws Exception {
