AMQP frames that wait for the event loop are limited over all connections

Cause: a connection is paused while it has unhandled frames, but one read of 64 KB each was allowed, which decodes to thousands of frames, and there was no common limit. A connection that is being closed was read until the peer closed it, and its frames were queued without any limit.

Evidence: UnhandledFramesTest fails on the code before: with 18,000 unhandled frames an idle connection is still read, and 1,000 frames after connection.close are queued.

Why this works: a read has 16 KB at most; from 16,384 unhandled frames on no connection is read, and all are again below half of that; frames of a connection that is being closed are dropped at once, but for the answer to the close. AutoReadGate stands before the decoder, as for HTTP.

--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -1,6 +1,7 @@
 package slipfield.amqp.server;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -33,6 +34,7 @@
 import slipfield.log.LoggedTask;
 import slipfield.retry.Retry;
 import slipfield.socket.AcceptLoop;
+import slipfield.socket.AutoReadGate;
 import slipfield.socket.ListenerChannel;
 
 /** The AMQP listener and its connections. Runs on the core's event loop unless a method says otherwise. */
@@ -46,6 +48,10 @@
     /** Every connection is checked once in this number of sweeps; checking 1000 with ten channels each at once takes long. */
     private static final int SWEEPS_PER_ROUND = 5;
     private static final int FLUSH_AFTER = 256;
+    /** Limit on the bytes of one read: it also limits the frames that one read adds to those that are not handled yet. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+    /** The number of frames that are not handled yet from which on no connection is read; below half of it, all are again. */
+    private static final int MAX_UNHANDLED_FRAMES = 16 * 1024;
     private static final int LOW_WATER = 32 * 1024;
     private static final int HIGH_WATER = 256 * 1024;
 
@@ -65,6 +71,9 @@
     private AcceptLoop acceptLoop;
     private int lastConnection;
     private boolean handlingFrames;
+    private int unhandledFrames;
+    /** Whether no connection is read because there are too many unhandled frames. */
+    private boolean readingPaused;
     private boolean closing;
     private double closingSinceMs;
 
@@ -115,6 +124,7 @@
                 .handler(new ListenerChannel.AcceptFailureHandler())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, MAX_READ_BYTES))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -142,7 +152,8 @@
         FrameEncoder encoder = new FrameEncoder();
         ServerConnection connection = new ServerConnection(this, ++lastConnection, channel, decoder, encoder);
         connections.put(lastConnection, connection);
-        channel.pipeline().addLast(new FlushConsolidationHandler(FLUSH_AFTER, true), decoder, encoder, connection);
+        channel.pipeline().addLast(new FlushConsolidationHandler(FLUSH_AFTER, true), new AutoReadGate(), decoder, encoder,
+                connection);
     }
 
     /** Closes the listening sockets as the end of the process would; called from any thread but the event loop. */
@@ -189,6 +200,26 @@
         }
     }
 
+    /** Counts frames that were received and are not handled yet; negative: that were handled. */
+    void countUnhandledFrames(int more) {
+        unhandledFrames += more;
+        boolean pause = unhandledFrames >= (readingPaused ? MAX_UNHANDLED_FRAMES / 2 : MAX_UNHANDLED_FRAMES);
+        if (pause != readingPaused) {
+            readingPaused = pause;
+            List.copyOf(connections.values()).forEach(ServerConnection::updateReading);
+        }
+    }
+
+    /** The number of frames that were received and are not handled yet. */
+    int unhandledFrames() {
+        return unhandledFrames;
+    }
+
+    /** Whether connections may be read as far as the number of unhandled frames is concerned. */
+    boolean mayRead() {
+        return !readingPaused;
+    }
+
     private void handleFrames() {
         for (int i = 0; i < FRAMES_PER_ITERATION && !pending.isEmpty(); i++) {
             ServerConnection first = pending.pollFirst();
--- a/src/main/java/slipfield/amqp/server/ServerConnection.java
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -27,6 +27,7 @@
 import slipfield.amqp.decide.HeartbeatMonitor;
 import slipfield.amqp.decide.Tuning;
 import slipfield.config.Config;
+import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 
 /** A client connection: handshake, channels and close. Specification 0-9-1, 2.2.4 and class connection. */
@@ -109,7 +110,15 @@
         if (frame instanceof Frame.Heartbeat) {
             return;
         }
+        if (state == State.CLOSING) {
+            // The socket is read until the peer closes it, so nothing may be queued.
+            if (frame instanceof Frame f) {
+                handleWhileClosing(f);
+            }
+            return;
+        }
         inbox.addLast(frame);
+        server.countUnhandledFrames(1);
         if (inbox.size() == 1) {
             updateReading();
             server.pending(this);
@@ -124,6 +133,7 @@
     boolean handleNextFrame() {
         Object frame = inbox.pollFirst();
         if (frame != null) {
+            server.countUnhandledFrames(-1);
             try {
                 if (frame instanceof AmqpError error) {
                     throw error;
@@ -145,13 +155,7 @@
 
     private void handle(Frame frame) throws AmqpError {
         if (state == State.CLOSING) {
-            ReferenceCountUtil.release(body(frame));
-            if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CONNECTION_CLOSE_OK) {
-                channel.close();
-            } else if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CONNECTION_CLOSE) {
-                // Both sides sent connection.close at the same time: each answers.
-                send(MethodId.CONNECTION_CLOSE_OK);
-            }
+            handleWhileClosing(frame);
             return;
         }
         if (frame.channel() > 0 && state == State.IN_SERVICE) {
@@ -168,6 +172,16 @@
         }
     }
 
+    private void handleWhileClosing(Frame frame) {
+        ReferenceCountUtil.release(body(frame));
+        if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CONNECTION_CLOSE_OK) {
+            channel.close();
+        } else if (frame instanceof Frame.OfMethod m && m.method().id() == MethodId.CONNECTION_CLOSE) {
+            // Both sides sent connection.close at the same time: each answers.
+            send(MethodId.CONNECTION_CLOSE_OK);
+        }
+    }
+
     private void handleChannelFrame(Frame frame) throws AmqpError {
         ServerChannel target = channels.get(frame.channel());
         MethodId id = frame instanceof Frame.OfMethod m ? m.method().id() : null;
@@ -322,10 +336,14 @@
 
     // ---- flow control and timeouts ----
 
-    /** Pauses reading while frames are unhandled, while backpressure applies, or while the peer does not read. */
+    /**
+     * Pauses reading while frames are unhandled, here or too many on all connections, while backpressure applies, or while the
+     * peer does not read.
+     */
     void updateReading() {
         boolean pause = !server.backpressure().mayRead(id);
-        channel.config().setAutoRead(inbox.isEmpty() && !pause && channel.isWritable() || state == State.CLOSING);
+        channel.config().setAutoRead(
+                inbox.isEmpty() && server.mayRead() && !pause && channel.isWritable() || state == State.CLOSING);
         if (supportsBlocked && state == State.IN_SERVICE && pause != blocked) {
             blocked = pause;
             if (pause) {
@@ -398,13 +416,16 @@
         releaseChannels();
         state = State.GONE;
         inbox.forEach(frame -> ReferenceCountUtil.release(body(frame)));
+        int unhandled = inbox.size();
         inbox.clear();
         server.connectionClosed(this);
+        server.countUnhandledFrames(-unhandled);
         server.resumePaused();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        FatalErrors.check("amqp connection", cause);
         if (!(cause instanceof IOException)) {
             Log.warn("amqp.connection_closed", "peer", peer(), "cause", cause);
         }
