Stand-ins find the sender's event loop by its name again

Since event loops report their fatal errors, their thread is named after another class, and standin.Child looks for "multiThreadIoEv". The rig would have told no CPU delay of a sender, by which it excuses a starved one.

Cause: the name was Netty's default, taken from the class of the group.

Why this works: the thread has a name of its own, "core", which the stand-in takes from where it is set.

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -44,6 +44,8 @@
     private static final long ANSWER_RESERVE_MS = 700;
     /** The same for a message accepted while the event loop is late: its answer may be delayed as much as its request was. */
     private static final long LATE_LOOP_RESERVE_MS = 1000;
+    /** The name of the event loop's thread, with a number added. */
+    public static final String THREAD_NAME = "core";
     private static final long DRAIN_POLL_MS = 20;
     /** How long after the end of the drain time a sender may still answer requests that it has read. */
     private static final long LAST_ANSWERS_MS = 200;
@@ -70,7 +72,7 @@
     private final SenderComponents components;
     private final long acceptMs;
     private final long drainMs;
-    private final EventLoopGroup group = new GuardedLoopGroup();
+    private final EventLoopGroup group = new GuardedLoopGroup(THREAD_NAME);
     private final EventLoop loop = group.next();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long startNanos = System.nanoTime();
--- a/src/main/java/slipfield/directory/consul/ConsulDirectory.java
+++ b/src/main/java/slipfield/directory/consul/ConsulDirectory.java
@@ -45,7 +45,7 @@
     private static final long DEREGISTER_WAIT_MS = 1000;
     private static final ConsulSettings.Mapping UNMAPPED = new ConsulSettings.Mapping(Optional.empty(), "", "");
 
-    private final EventLoopGroup group = new GuardedLoopGroup();
+    private final EventLoopGroup group = new GuardedLoopGroup("consul");
     private final EventLoop loop = group.next();
     private final AgentAccess access;
     private final ConsulSettings settings;
--- a/src/main/java/slipfield/socket/GuardedLoopGroup.java
+++ b/src/main/java/slipfield/socket/GuardedLoopGroup.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SingleThreadIoEventLoop;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadFactory;
@@ -16,9 +17,9 @@
  * task in a future that nobody reads, and ends the thread after one in its own code, while the process stays.
  */
 public final class GuardedLoopGroup extends MultiThreadIoEventLoopGroup {
-    /** An event loop with a thread of Netty's defaults. */
-    public GuardedLoopGroup() {
-        super(1, NioIoHandler.newFactory());
+    /** An event loop whose thread has this name, with a number added; the process does not end before it. */
+    public GuardedLoopGroup(String name) {
+        this(new DefaultThreadFactory(name, false, Thread.MAX_PRIORITY));
     }
 
     /** An event loop with a thread from this factory. */
--- a/src/main/java/slipfield/standin/Child.java
+++ b/src/main/java/slipfield/standin/Child.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import slipfield.core.Sender;
 
 /** A command of this program as a process of its own: started, awaited by a line of its log, killed. */
 final class Child implements AutoCloseable {
@@ -20,7 +21,7 @@
     private static final long LOOK_MS = 10;
 
     /** What the name of the sender's event loop begins with. */
-    private static final String EVENT_LOOP = "multiThreadIoEv";
+    private static final String EVENT_LOOP = Sender.THREAD_NAME + "-";
 
     /** All that this process has started: they end with it, also where it is told to end in the middle of a run. */
     private static final Set<Process> STARTED = ConcurrentHashMap.newKeySet();
--- a/src/test/java/slipfield/socket/GuardedLoopGroupTest.java
+++ b/src/test/java/slipfield/socket/GuardedLoopGroupTest.java
@@ -17,7 +17,7 @@
 /** Fatal errors on an event loop, which Netty alone would log or store while the process stays. */
 @Timeout(30)
 class GuardedLoopGroupTest {
-    private final GuardedLoopGroup group = new GuardedLoopGroup();
+    private final GuardedLoopGroup group = new GuardedLoopGroup("test");
     private final CountDownLatch terminated = new CountDownLatch(1);
 
     @BeforeEach
