An order that a broker delivers again does not run at a second sender

Cause: the broker gives what was not settled on the lost connection to any consumer, as redelivered, while the first sender keeps what it has accepted, across a restart too. BrokerConsumer ignored the flag, and ids are known to one sender only, so the second took the order as new.

Why this works: a redelivered order whose id is not known here fails unless its class is safe to repeat (RedeliveryRule): nothing shows whether, or when, it has run. Keyed ones too, as their window began at an unknown time. One whose id is known has the end of its first delivery, as before. Since requeueing now makes an order one that may have run, such orders wait unsettled for room in the sender instead, and are still accepted while it shuts down.

--- a/src/main/java/slipfield/amqp/Publisher.java
+++ b/src/main/java/slipfield/amqp/Publisher.java
@@ -11,6 +11,14 @@
     /** Returns a message with {@code basic.return}, with these headers added to its own. */
     void returnMessage(Publication publication, ReplyCode code, String text, Map<String, Object> headers);
 
+    /**
+     * Keeps a publication that was refused and submits it again after this delay in milliseconds, unless the channel is closed
+     * before. Returns false if this can't be done; the publication is to be returned and settled then.
+     */
+    default boolean submitLater(Publication publication, long delayMs) {
+        return false;
+    }
+
     /** Settles a publication that has its final answer. The confirm is sent with the next {@link #flush}. */
     void confirm(Publication publication, boolean ack);
 
--- a/src/main/java/slipfield/amqp/client/BrokerConsumer.java
+++ b/src/main/java/slipfield/amqp/client/BrokerConsumer.java
@@ -15,16 +15,19 @@
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
+import slipfield.amqp.decide.RedeliveryRule;
 import slipfield.log.Log;
 
 /**
  * Consumes a queue of another broker. Its deliveries are submitted here and acknowledged once they have their final answer. A
- * refused message is requeued after the requested delay. A failed one is rejected, so that the broker moves it to its dead
- * letters if it has any. Messages that were unsettled when the link was lost are delivered again under their known ids.
+ * refused message is requeued after the requested delay or, if it must not run twice, submitted again here. A failed one is
+ * rejected, so that the broker moves it to its dead letters if it has any. Messages that were unsettled when the link was lost
+ * stay accepted; the broker delivers them again, to this consumer under their known ids or to another, as {@link RedeliveryRule}
+ * describes.
  */
 public final class BrokerConsumer implements BrokerLink.Listener {
-    /** The minimum delay before a refused message is requeued. Without it the broker would deliver it again at once. */
-    private static final long MIN_REQUEUE_DELAY_MS = 250;
+    /** The minimum delay before a refused message is requeued or submitted again. Without it that would happen at once. */
+    private static final long MIN_RETRY_DELAY_MS = 250;
 
     private final EventLoop loop;
     private final AmqpConfig.Inbound config;
@@ -86,7 +89,8 @@
         }
         session.unsettled++;
         publishHandler.published(session, new Publication(m.number("delivery-tag"), config.user(), config.exchange(),
-                m.text("routing-key"), properties, body));
+                m.text("routing-key"), properties, body, m.flag("redelivered") ? RedeliveryRule.Origin.REDELIVERED
+                        : RedeliveryRule.Origin.DELIVERED));
     }
 
     /** Messages that were read together are written to the journal in one write. */
@@ -128,7 +132,20 @@
         @Override
         public void returnMessage(Publication p, ReplyCode code, String text, Map<String, Object> headers) {
             if (ReturnHeaders.isRefused(headers)) {
-                requeueDelays.put(p.tag(), Math.max(MIN_REQUEUE_DELAY_MS, ReturnHeaders.waitMs(headers)));
+                requeueDelays.put(p.tag(), Math.max(MIN_RETRY_DELAY_MS, ReturnHeaders.waitMs(headers)));
+            }
+        }
+
+        @Override
+        public boolean submitLater(Publication p, long delayMs) {
+            loop.schedule(() -> submitAgain(p), Math.max(MIN_RETRY_DELAY_MS, delayMs), TimeUnit.MILLISECONDS);
+            return true;
+        }
+
+        private void submitAgain(Publication p) {
+            if (!closed) {
+                publishHandler.published(this, p);
+                publishHandler.batchEnded();
             }
         }
 
--- a/src/main/java/slipfield/amqp/server/ServerChannel.java
+++ b/src/main/java/slipfield/amqp/server/ServerChannel.java
@@ -22,6 +22,7 @@
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
 import slipfield.amqp.decide.PublisherConfirms;
+import slipfield.amqp.decide.RedeliveryRule;
 import slipfield.amqp.decide.UnackedDeliveries;
 
 /** A channel with its publications, their confirms, and the deliveries to its consumers. */
@@ -116,7 +117,8 @@
         }
         bodyDone();
         Publication publication = new Publication(confirming ? confirms.assignTag() : 0, user(),
-                publish.text("exchange"), publish.text("routing-key"), contents.properties(), contents.takeBody());
+                publish.text("exchange"), publish.text("routing-key"), contents.properties(), contents.takeBody(),
+                RedeliveryRule.Origin.PUBLISHED);
         open.add(publication);
         addLoad(1, publication);
         connection.server().publishHandler().published(this, publication);
--- a/src/main/java/slipfield/core/MessageIntake.java
+++ b/src/main/java/slipfield/core/MessageIntake.java
@@ -59,6 +59,9 @@
     /** Whether messages of this class need a key by which the destination drops repeated deliveries. */
     boolean needsKey(String messageClass);
 
+    /** Whether messages of this class may run any number of times. */
+    boolean safeToRepeat(String messageClass);
+
     /** Whether an endpoint list has ever named this destination, even if its endpoints have left. */
     boolean knowsDestination(long destination);
 
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -731,8 +731,16 @@
 
         @Override
         public boolean needsKey(String messageClass) {
-            return config.settings().classes().get(config.classes().indexOf(messageClass)).repeatSafety()
-                    == DeliveryPolicy.RepeatSafety.KEYED;
+            return repeatSafety(messageClass) == DeliveryPolicy.RepeatSafety.KEYED;
+        }
+
+        @Override
+        public boolean safeToRepeat(String messageClass) {
+            return repeatSafety(messageClass) == DeliveryPolicy.RepeatSafety.SAFE;
+        }
+
+        private DeliveryPolicy.RepeatSafety repeatSafety(String messageClass) {
+            return config.settings().classes().get(config.classes().indexOf(messageClass)).repeatSafety();
         }
 
         @Override
--- a/src/main/java/slipfield/daemon/WarmUp.java
+++ b/src/main/java/slipfield/daemon/WarmUp.java
@@ -114,6 +114,11 @@
             return true;
         }
 
+        @Override
+        public boolean safeToRepeat(String messageClass) {
+            return false;
+        }
+
         @Override
         public boolean knowsDestination(long destination) {
             return true;
--- a/src/main/java/slipfield/front/amqp/PublisherFrontend.java
+++ b/src/main/java/slipfield/front/amqp/PublisherFrontend.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import slipfield.amqp.client.BrokerLinks;
 import slipfield.amqp.codec.ReplyCode;
+import slipfield.amqp.decide.RedeliveryRule;
 import slipfield.amqp.decide.RoutingTable;
 import slipfield.amqp.server.AmqpServer;
 import slipfield.amqp.Publication;
@@ -107,7 +108,7 @@
     @Override
     public void published(Publisher from, Publication p) {
         Optional<RoutingTable.Target> target = routes.resolve(p.exchange(), p.routingKey());
-        if (closing) {
+        if (closing && !keepsRefused(p)) {
             refuse(from, p, ReplyCode.CONNECTION_FORCED, "the sender ends; publish again, there or elsewhere", 0);
         } else if (target.isEmpty()) {
             refuse(from, p, ReplyCode.NO_ROUTE, "no route of '" + p.exchange() + "' fits '" + p.routingKey() + "'", 0);
@@ -137,8 +138,13 @@
             }
             return;
         }
+        if (RedeliveryRule.mayHaveRun(p.origin(), intake.safeToRepeat(submission.messageClass()))) {
+            Log.warn("amqp.redelivery_failed", "message", id, "class", submission.messageClass());
+            fail(from, p, "delivered before, and it may have run then");
+            return;
+        }
         if (!intake.knowsDestination(submission.destination())) {
-            refuse(from, p, ReplyCode.NO_CONSUMERS, "nothing serves destination " + submission.destination() + " yet", 0);
+            refuseForNow(from, p, ReplyCode.NO_CONSUMERS, "nothing serves destination " + submission.destination() + " yet", 0);
             return;
         }
         MessageIntake.SubmissionResult result = intake.submit(submission);
@@ -146,7 +152,7 @@
             accepted.add(new AcceptedPublication(result.message().get(), from, p));
             await(from, p, id);
         } else {
-            refuse(from, p, ReplyCode.RESOURCE_ERROR, result.reason(), result.waitMs());
+            refuseForNow(from, p, ReplyCode.RESOURCE_ERROR, result.reason(), result.waitMs());
         }
     }
 
@@ -167,7 +173,7 @@
                 intake.acceptanceReported(t.message, recorded);
                 if (!recorded) {
                     takePublications(t.publisher, t.message.id)
-                            .forEach(p -> refuse(t.publisher, p, ReplyCode.RESOURCE_ERROR, "no room", 0));
+                            .forEach(p -> refuseForNow(t.publisher, p, ReplyCode.RESOURCE_ERROR, "no room", 0));
                 }
             }
         }
@@ -202,7 +208,7 @@
             for (Publication p : takePublications(pending.publisher, answer.message().id)) {
                 switch (notice.answer()) {
                     case DELIVERED -> confirm(pending.publisher, p, true);
-                    case REFUSED -> refuse(pending.publisher, p, ReplyCode.RESOURCE_ERROR,
+                    case REFUSED -> refuseForNow(pending.publisher, p, ReplyCode.RESOURCE_ERROR,
                             "could not be delivered, and did not run", Math.round(notice.waitMs()));
                     case FAILED -> fail(pending.publisher, p, "given up; it may have run");
                     default -> throw new IllegalStateException();
@@ -213,6 +219,18 @@
         acknowledged.accept(answer);
     }
 
+    /** Refuses a publication that may be accepted later, or keeps it until then if nobody else could accept it. */
+    private void refuseForNow(Publisher to, Publication p, ReplyCode code, String text, long waitMs) {
+        if (!keepsRefused(p) || !to.submitLater(p, waitMs)) {
+            refuse(to, p, code, text, waitMs);
+        }
+    }
+
+    private boolean keepsRefused(Publication p) {
+        Optional<RoutingTable.Target> target = routes.resolve(p.exchange(), p.routingKey());
+        return target.isPresent() && RedeliveryRule.keepsRefused(p.origin(), intake.safeToRepeat(target.get().messageClass()));
+    }
+
     private void refuse(Publisher to, Publication p, ReplyCode code, String text, long waitMs) {
         to.returnMessage(p, code, text, ReturnHeaders.refused(waitMs));
         confirm(to, p, false);
--- a/src/test/java/slipfield/front/amqp/PublisherFrontendTest.java
+++ b/src/test/java/slipfield/front/amqp/PublisherFrontendTest.java
@@ -15,6 +15,7 @@
 import slipfield.amqp.ReturnHeaders;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
+import slipfield.amqp.decide.RedeliveryRule;
 import slipfield.amqp.decide.RoutingTable;
 import slipfield.core.MessageIntake;
 import slipfield.journal.AnswerRecipient;
@@ -31,11 +32,13 @@
     private final List<String> acceptances = new ArrayList<>();
     private boolean writeSucceeds = true;
     private long waitMs = -1;
+    private boolean safeToRepeat;
     private final PublisherFrontend front = new PublisherFrontend(null, new RoutingTable().addExchange("x",
             List.of(new RoutingTable.Route("#", "c", 7, 0))), acknowledged::add);
 
     private final class FakeChannel implements Publisher {
         private final String peer;
+        private boolean keepsRefused;
 
         FakeChannel(String peer) {
             this.peer = peer;
@@ -52,6 +55,14 @@
                     + (headers.containsKey(ReturnHeaders.RETRY_AFTER) ? " " + headers.get(ReturnHeaders.RETRY_AFTER) : ""));
         }
 
+        @Override
+        public boolean submitLater(Publication p, long delayMs) {
+            if (keepsRefused) {
+                sent.add(peer + p.tag() + " later " + delayMs);
+            }
+            return keepsRefused;
+        }
+
         @Override
         public void confirm(Publication p, boolean ack) {
             sent.add(peer + p.tag() + (ack ? " ack" : " nack"));
@@ -84,6 +95,11 @@
             return false;
         }
 
+        @Override
+        public boolean safeToRepeat(String messageClass) {
+            return safeToRepeat;
+        }
+
         @Override
         public boolean knowsDestination(long destination) {
             return true;
@@ -127,8 +143,12 @@
     }
 
     private void publish(FakeChannel from, long tag, String id) {
+        publish(from, tag, id, RedeliveryRule.Origin.PUBLISHED);
+    }
+
+    private void publish(FakeChannel from, long tag, String id, RedeliveryRule.Origin origin) {
         front.published(from, new Publication(tag, new AmqpConfig.User("u", Optional.empty(), "", Set.of(), Set.of()), "x", "k",
-                Properties.NONE.with(Properties.Property.MESSAGE_ID, id), new byte[0]));
+                Properties.NONE.with(Properties.Property.MESSAGE_ID, id), new byte[0], origin));
     }
 
     private void answer(int number, PendingMessage.FinalAnswer answer, double waitMs) {
@@ -204,6 +224,54 @@
         assertEquals(List.of("a3 ack", "a4 541 failed", "a4 nack"), takeSent());
     }
 
+    /** Found by a review: it may have run at the sender to which the broker gave it first. */
+    @Test
+    void aRedeliveredMessageOfAnUnknownIdRunsOnlyIfItIsSafeToRepeat() {
+        FakeChannel a = new FakeChannel("a");
+        publish(a, 1, "m1", RedeliveryRule.Origin.REDELIVERED);
+        assertEquals(List.of("a1 541 failed", "a1 nack"), takeSent());
+        assertEquals(List.of(), accepted);
+        safeToRepeat = true;
+        publish(a, 2, "m2", RedeliveryRule.Origin.REDELIVERED);
+        assertEquals(1, accepted.size());
+    }
+
+    /** Guards against a broken link that costs a sender the true end of its own orders. */
+    @Test
+    void aRedeliveredMessageOfAKnownIdGetsItsAnswer() {
+        FakeChannel a = new FakeChannel("a");
+        publish(a, 1, "m1", RedeliveryRule.Origin.DELIVERED);
+        front.publisherClosed(a);
+        FakeChannel b = new FakeChannel("b");
+        publish(b, 1, "m1", RedeliveryRule.Origin.REDELIVERED);
+        known.put("m2", MessageIntake.DuplicateState.DELIVERED);
+        publish(b, 2, "m2", RedeliveryRule.Origin.REDELIVERED);
+        assertEquals(1, accepted.size());
+        assertEquals(List.of("b2 ack"), takeSent());
+        front.enqueue(new PendingAnswer(deliveredFirst(), new AnswerRecipient(PublisherFrontend.NAME, "b", true, false)));
+        front.flush();
+        assertEquals(List.of("b1 ack", "b flush"), takeSent());
+    }
+
+    private PendingMessage deliveredFirst() {
+        PendingMessage first = accepted.get(0);
+        first.pendingNotice = Optional.of(new PendingMessage.Notice(PendingMessage.FinalAnswer.DELIVERED, 0));
+        return first;
+    }
+
+    /** If it were requeued, any consumer would have to fail it as a message that may have run. */
+    @Test
+    void aDeliveryThatIsRefusedForNowIsKeptUnlessItIsSafeToRepeat() {
+        FakeChannel a = new FakeChannel("a");
+        a.keepsRefused = true;
+        waitMs = 1200;
+        publish(a, 1, "m1", RedeliveryRule.Origin.DELIVERED);
+        publish(a, 2, "m2", RedeliveryRule.Origin.PUBLISHED);
+        safeToRepeat = true;
+        publish(a, 3, "m3", RedeliveryRule.Origin.DELIVERED);
+        assertEquals(List.of("a1 later 1200", "a2 506 refused 1200", "a2 nack", "a3 506 refused 1200", "a3 nack"), takeSent());
+    }
+
     @Test
     void aClosedPublisherGetsNoAnswer() {
         FakeChannel a = new FakeChannel("a");
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -68,6 +68,11 @@
             return false;
         }
 
+        @Override
+        public boolean safeToRepeat(String messageClass) {
+            return false;
+        }
+
         @Override
         public boolean knowsDestination(long destination) {
             return false;
