A client that does not read its answers is closed, and gets no second one

A client that pipelines requests and reads no answers was kept for good: neither its time limit nor the limit on connections closed it, so a few hundred of them would have left no room for others.

Cause: since its requests are kept back while it does not read, it always had unread data, and unread data protects a connection, for it shows that the sender is late. And an incomplete request that had been answered (408) and waited for its close could be answered again (503) to make room.

Why this works: only reads that wait for their turn protect a connection; a connection that has its last answer is not answered again.

--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -455,7 +455,7 @@
 
         @Override
         public boolean hasUnread() {
-            return !unread.isEmpty();
+            return unread.awaitsTurn();
         }
 
         @Override
@@ -525,7 +525,9 @@
 
         /** Refuses a request of which only a part has come, to make room for others. */
         private void giveUpBody() {
-            answerAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests are incomplete");
+            if (entry.state() != ClientConnections.State.CLOSING) {
+                answerAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests are incomplete");
+            }
             // Its handler releases the part of the body.
             channel.pipeline().remove(aggregator);
         }
--- a/src/main/java/slipfield/front/http/ReceiveQueue.java
+++ b/src/main/java/slipfield/front/http/ReceiveQueue.java
@@ -45,8 +45,9 @@
             return connection;
         }
 
-        boolean isEmpty() {
-            return reads.isEmpty();
+        /** Whether it has reads that only wait for their turn. */
+        boolean awaitsTurn() {
+            return !suspended && !reads.isEmpty();
         }
 
         /** Whether more may be read from the connection now. */
@@ -58,7 +59,7 @@
         void add(ByteBuf read) {
             reads.addLast(read);
             count(read.capacity());
-            awaitTurn();
+            enterTurn();
         }
 
         /** Removes the oldest read, which the caller owns from now on. */
@@ -71,7 +72,7 @@
         /** Sets whether the reads are kept back for now: while they are, the connection gets no turn. */
         void suspend(boolean newSuspended) {
             suspended = newSuspended;
-            awaitTurn();
+            enterTurn();
         }
 
         /** Discards all reads. */
@@ -86,8 +87,8 @@
             bytes += more;
         }
 
-        private void awaitTurn() {
-            if (!suspended && !inTurn && !reads.isEmpty()) {
+        private void enterTurn() {
+            if (awaitsTurn() && !inTurn) {
                 inTurn = true;
                 ready.addLast(this);
             }
@@ -104,7 +105,7 @@
         while (!ready.isEmpty()) {
             Source next = ready.removeFirst();
             next.inTurn = false;
-            if (!next.suspended && !next.reads.isEmpty()) {
+            if (next.awaitsTurn()) {
                 return next;
             }
         }
@@ -113,7 +114,7 @@
 
     /** Returns a connection to the end of the queue if it has more reads. */
     void endTurn(Source source) {
-        source.awaitTurn();
+        source.enterTurn();
     }
 
     /** Whether any connection may have a turn. */
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import slipfield.core.MessageIntake;
 import slipfield.journal.AnswerRecipient;
 import slipfield.journal.PendingMessage;
@@ -204,6 +205,25 @@
         assertTrue(mostUnread.get() <= maxUnreadBytes + clients * HttpFrontend.MAX_READ_BYTES, mostUnread.toString());
     }
 
+    /** Its requests are not processed meanwhile, and must not keep it connected as those of a late sender do. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aClientThatDoesNotReadItsAnswersIsClosed() throws Exception {
+        EventLoop loop = group.next();
+        HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
+                new EmptyIntake());
+        InetSocketAddress address = frontend.listen();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        sockets.add(socket);
+        byte[] requests = "GET / HTTP/1.1\r\n\r\n".repeat(10_000).getBytes(StandardCharsets.US_ASCII);
+        assertThrows(IOException.class, () -> {
+            while (true) {
+                socket.getOutputStream().write(requests);
+            }
+        });
+        Stub.await("it is closed", () -> loop.submit(frontend::openConnections).syncUninterruptibly().getNow() == 0);
+    }
+
     /** Several hundred clients that send all but the end of a largest request filled all but the last 2 MB of the heap. */
     @Test
     void beyondALimitTheOldestIncompleteRequestsAreRefused() throws Exception {
