The process's clock does not lag behind the wall clock from its start on

To callers each deadline is up to a millisecond early, more where the process is held up at its start.

Cause: ProcessClock dropped the part of a millisecond of the wall clock at its start and counted whole milliseconds from there, so it lags whenever both parts together pass one. And it read the wall clock and the monotonic one one after the other without a look at what passed between them: a hold-up there moves the clock for the whole life, and the times of the life before it by as much.

Why this works: the start is kept in nanoseconds, and both clocks are read again, up to twenty times, while that takes over 0.1 ms.

--- a/src/main/java/slipfield/journal/ProcessClock.java
+++ b/src/main/java/slipfield/journal/ProcessClock.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import slipfield.log.Log;
 import slipfield.retry.Retry;
 
@@ -17,17 +20,26 @@
     /** How long reading the boot id is retried: without it, a process can't detect that the wall clock was set. */
     private static final long BOOT_ID_MS = 2000;
 
-    private final long wallStart;
+    /** Readings of both clocks that are further apart than this are repeated: the thread was held up between them. */
+    private static final long MAX_READING_NANOS = TimeUnit.MICROSECONDS.toNanos(100);
+    private static final int MAX_READINGS = 20;
+
+    private final long wallStartNanos;
     private final long nanoStart;
-    private final long monoStart;
-    private final long boot;
+    private final LongSupplier nanoTime;
+    private final Reference reference;
 
     /** A clock that starts now at these readings; {@code boot} is 0 where boots can't be told apart. */
     public ProcessClock(long wallMs, long monoMs, long boot) {
-        this.wallStart = wallMs;
-        this.nanoStart = System.nanoTime();
-        this.monoStart = monoMs;
-        this.boot = boot;
+        this(new Reading(System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(wallMs), 0), System::nanoTime,
+                new Reference(wallMs, monoMs, boot));
+    }
+
+    private ProcessClock(Reading start, LongSupplier nanoTime, Reference reference) {
+        this.wallStartNanos = start.wallNanos;
+        this.nanoStart = start.monotonicNanos;
+        this.nanoTime = nanoTime;
+        this.reference = reference;
     }
 
     /** Reads the system's clocks now. */
@@ -40,17 +52,42 @@
         } catch (IOException | RuntimeException e) {
             Log.warn("clock.boot_unknown");
         }
-        return new ProcessClock(System.currentTimeMillis(), System.nanoTime() / 1_000_000, boot);
+        return start(System::nanoTime, ProcessClock::systemWallNanos, boot);
+    }
+
+    /** Starts a clock from these two, which return nanoseconds: of a monotonic clock, and since 1970. */
+    static ProcessClock start(LongSupplier nanoTime, LongSupplier wallNanos, long boot) {
+        Reading start = Reading.of(nanoTime, wallNanos);
+        for (int i = 1; i < MAX_READINGS && start.durationNanos > MAX_READING_NANOS; i++) {
+            Reading next = Reading.of(nanoTime, wallNanos);
+            start = next.durationNanos < start.durationNanos ? next : start;
+        }
+        return new ProcessClock(start, nanoTime, new Reference(TimeUnit.NANOSECONDS.toMillis(start.wallNanos),
+                TimeUnit.NANOSECONDS.toMillis(start.monotonicNanos), boot));
+    }
+
+    private static long systemWallNanos() {
+        Instant now = Instant.now();
+        return TimeUnit.SECONDS.toNanos(now.getEpochSecond()) + now.getNano();
     }
 
     /** Milliseconds since 1970, by this process's clock. */
     public long wallMs() {
-        return wallStart + (System.nanoTime() - nanoStart) / 1_000_000;
+        return TimeUnit.NANOSECONDS.toMillis(wallStartNanos + (nanoTime.getAsLong() - nanoStart));
     }
 
     /** The readings at the start, which the next process needs to convert this process's times. */
     public Reference reference() {
-        return new Reference(wallStart, monoStart, boot);
+        return reference;
+    }
+
+    /** Both clocks, in ns, read one right after the other; {@code durationNanos}: how long that took. */
+    private record Reading(long monotonicNanos, long wallNanos, long durationNanos) {
+        static Reading of(LongSupplier nanoTime, LongSupplier wallNanos) {
+            long before = nanoTime.getAsLong();
+            long wall = wallNanos.getAsLong();
+            return new Reading(before, wall, nanoTime.getAsLong() - before);
+        }
     }
 
     /** The wall clock and the time since boot, both in ms, read at the same moment. */
