An error that Netty only logs ends the process like any other

The process stays, but whoever waits for what a listener of a future was to do (a 202 that was written, a call that was connected) waits for good.

Cause: GuardedLoopGroup reports an Error of a task, but Netty catches what a listener of a future or a channel's initializer throws and only logs it. -XX:+ExitOnOutOfMemoryError covers a lack of memory alone, not a deep stack or a class that is gone because the jar was replaced.

Evidence: the log of the new test without the mend has the line of DefaultPromise and nothing after it. Ruled out: errors in channel handlers pass exceptionCaught, which checks them; those of pools reach the handler of uncaught exceptions.

Why this works: all that Netty swallows it logs as a warning or an error, with its cause, and all its lines pass JdkBackend, which now gives an Error to FatalErrors. Not covered: from SIGTERM on the JDK has removed the handler; the drain's own limit ends the process then.

Measured: GuardedLoopGroupTest.anErrorInAListenerOfAFutureEndsTheProcess fails without it and passes with it. anErrorInAcceptEndsTheProcess had no test; it passes before, too.

--- a/src/main/java/slipfield/log/JdkBackend.java
+++ b/src/main/java/slipfield/log/JdkBackend.java
@@ -39,6 +39,11 @@
     @Override
     public void publish(LogRecord record) {
         print(record.getLoggerName().equals(OWN) ? record.getMessage() : libraryLine(record));
+        boolean isWarning = record.getLevel().intValue() >= Level.WARNING.intValue();
+        if (isWarning && record.getThrown() != null) {
+            // Netty only logs what the listener of a future or a channel's initializer throws.
+            FatalErrors.check(record.getLoggerName(), record.getThrown());
+        }
     }
 
     private String libraryLine(LogRecord record) {
--- a/src/test/java/slipfield/socket/GuardedLoopGroupTest.java
+++ b/src/test/java/slipfield/socket/GuardedLoopGroupTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import slipfield.log.FatalErrors;
+import slipfield.log.Log;
 
 /** Fatal errors on an event loop, which Netty alone would log or store while the process stays. */
 @Timeout(30)
@@ -56,6 +58,21 @@
         assertTerminates((loop, task) -> loop.scheduleWithFixedDelay(task, 0, 1, TimeUnit.MILLISECONDS));
     }
 
+    /** Netty only logs it, and whoever waits for what the listener has to do waits for good. */
+    @Test
+    void anErrorInAListenerOfAFutureEndsTheProcess() throws Exception {
+        Log.info("test.started");
+        assertTerminates((loop, task) -> loop.newSucceededFuture(null).addListener(f -> task.run()));
+    }
+
+    /** Netty closes a listening socket after an error in accept, while the process stays without it. */
+    @Test
+    void anErrorInAcceptEndsTheProcess() throws Exception {
+        EmbeddedChannel listener = new EmbeddedChannel(new ListenerChannel.AcceptFailureHandler());
+        listener.pipeline().fireExceptionCaught(new OutOfMemoryError("forced"));
+        assertTrue(terminated.await(0, TimeUnit.SECONDS));
+    }
+
     /** An error in a pool's thread leaves a task that never reports its result; the process ends with a code of its own. */
     @Test
     void anErrorOnAnyThreadEndsTheProcessWithoutItsShutdownHooks() throws Exception {
