A check of a secret that fails holds up no later login over AMQP

After one check of a secret that threw, no client over AMQP with a password that was not checked before can log in: each waits until it is cut, and the process stays.

Cause: the check runs on another thread. If it throws, no result comes back, so the one place for a running check is never given back, and the login and all behind it wait.

Why this works: a check that throws is logged (amqp.login_check_failed) and answered as not checked, which closes that connection as when too many logins wait; the next check starts.

Measured: AuthenticatorTest.aCheckThatFailsHoldsUpNoLaterLogin got no result before ([] where two are due) and passes now. Not seen outside of the test: PBKDF2 of a usual JDK throws nothing.

--- a/src/main/java/slipfield/amqp/server/Authenticator.java
+++ b/src/main/java/slipfield/amqp/server/Authenticator.java
@@ -36,7 +36,7 @@
     /** The result of a login. */
     enum Result {
         ACCEPTED, REJECTED,
-        /** Not checked, since too many logins were waiting. */
+        /** Not checked, since too many logins were waiting or the check failed. */
         NOT_CHECKED
     }
 
@@ -107,30 +107,48 @@
 
     private void check(String key, Check one, byte[] code) {
         executor.execute(() -> {
-            // Unknown names take as long as known ones; otherwise the time to the answer would reveal which names exist.
-            boolean known = one.user != null && one.user.secret().isPresent();
-            Secret secret = known ? one.user.secret().get() : UnknownUser.SECRET;
-            boolean correct = secret.matches(one.login.password().get()) && known;
-            loop.execute(() -> checked(key, one, code, correct));
+            Result result;
+            try {
+                result = matches(one) ? Result.ACCEPTED : Result.REJECTED;
+            } catch (RuntimeException e) {
+                // Without a result, this login and all that wait behind it would get no answer.
+                Log.error("amqp.login_check_failed", "user", one.login.name(), "cause", e);
+                result = Result.NOT_CHECKED;
+            }
+            Result checked = result;
+            loop.execute(() -> checked(key, one, code, checked));
         });
     }
 
+    private static boolean matches(Check one) {
+        // Unknown names take as long as known ones; otherwise the time to the answer would reveal which names exist.
+        boolean known = one.user != null && one.user.secret().isPresent();
+        Secret secret = known ? one.user.secret().get() : UnknownUser.SECRET;
+        return secret.matches(one.login.password().get()) && known;
+    }
+
     /** Holds a secret for unknown names; computed on first use, on the thread that checks secrets. */
     private static final class UnknownUser {
         private static final Secret SECRET = Secret.of("");
     }
 
-    private void checked(String key, Check one, byte[] code, boolean correct) {
+    private void checked(String key, Check one, byte[] code, Result result) {
         checksByKey.remove(key);
         if (throttle.checkFinished()) {
             waitingChecks.pollFirst().run();
         }
-        String name = one.login.name();
-        if (correct) {
-            verifiedMacs.put(name, code);
-            one.callbacks.forEach(callback -> callback.accept(Result.ACCEPTED));
+        if (result == Result.REJECTED) {
+            reject(one);
             return;
         }
+        if (result == Result.ACCEPTED) {
+            verifiedMacs.put(one.login.name(), code);
+        }
+        one.callbacks.forEach(callback -> callback.accept(result));
+    }
+
+    private void reject(Check one) {
+        String name = one.login.name();
         Log.warn("amqp.login_refused", "user", name);
         one.callbacks.forEach(callback -> loop.schedule(() -> {
             throttle.failureAnswered();
