The AMQP front goes on after the end of a batch that failed

After one exception at the end of a batch of frames no frame of any AMQP connection is handled any more, and the process stays.

Cause: AmqpServer.handleFrames starts its next turn only at its very end.

Why this works: whether another turn is due is decided in any case, as the HTTP front does, and the exception is logged (task.fault).

Not seen outside of the test.

--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -196,7 +196,7 @@
         pending.addLast(connection);
         if (!handlingFrames) {
             handlingFrames = true;
-            loop.execute(this::handleFrames);
+            loop.execute(LoggedTask.of("amqp.frames", this::handleFrames));
         }
     }
 
@@ -221,17 +221,20 @@
     }
 
     private void handleFrames() {
-        for (int i = 0; i < FRAMES_PER_ITERATION && !pending.isEmpty(); i++) {
-            ServerConnection first = pending.pollFirst();
-            if (first.handleNextFrame()) {
-                pending.addLast(first);
+        try {
+            for (int i = 0; i < FRAMES_PER_ITERATION && !pending.isEmpty(); i++) {
+                ServerConnection first = pending.pollFirst();
+                if (first.handleNextFrame()) {
+                    pending.addLast(first);
+                }
+            }
+            publishHandler.batchEnded();
+        } finally {
+            handlingFrames = !pending.isEmpty();
+            if (handlingFrames) {
+                // Not in this iteration: the sockets are read in between, for the endpoint list and for answers.
+                loop.schedule(LoggedTask.of("amqp.frames", this::handleFrames), 0, TimeUnit.MILLISECONDS);
             }
-        }
-        publishHandler.batchEnded();
-        handlingFrames = !pending.isEmpty();
-        if (handlingFrames) {
-            // Not in this iteration: the sockets are read in between, for the endpoint list and for answers.
-            loop.schedule(this::handleFrames, 0, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/test/java/slipfield/amqp/server/UnhandledFramesTest.java
+++ b/src/test/java/slipfield/amqp/server/UnhandledFramesTest.java
@@ -36,6 +36,7 @@
     @TempDir
     private Path folder;
     private AmqpServer server;
+    private int failingBatches;
 
     @BeforeEach
     void open() throws Exception {
@@ -50,13 +51,17 @@
         server.setHandlers(new NoPublications(), null);
     }
 
-    private static final class NoPublications implements PublishHandler {
+    private final class NoPublications implements PublishHandler {
         @Override
         public void published(Publisher from, Publication publication) {
         }
 
         @Override
         public void batchEnded() {
+            if (failingBatches > 0) {
+                failingBatches--;
+                throw new IllegalStateException("forced");
+            }
         }
 
         @Override
@@ -109,4 +114,19 @@
         failed.writeInbound(frames());
         assertEquals(0, server.unhandledFrames());
     }
+
+    /** Guards against an AMQP front that stays, mute, after the end of one batch threw: nothing started the next one. */
+    @Test
+    void framesAreHandledAfterABatchThatFailed() {
+        failingBatches = 1;
+        connect().writeInbound(Unpooled.copiedBuffer(PROTOCOL_HEADER), Unpooled.copiedBuffer(CLOSE_OK));
+        try {
+            loop.runPendingTasks();
+        } catch (IllegalStateException forced) {
+            // An event loop would only log it.
+        }
+        assertEquals(0, failingBatches);
+        connect().writeInbound(Unpooled.copiedBuffer(PROTOCOL_HEADER), frames());
+        handleAll();
+    }
 }
