Hundreds of small requests in one read hold up nobody else

And a request behind a poll of GET /ends in the same read was answered before the poll.

Cause: a connection's turn is one read, and a read of 16 KB holds 900 such requests, each answered by a write of its own. All of it was decoded in one piece, whatever was to wait meanwhile: others, the poll's answer, a client that does not read its answers.

A queue that is too long was ruled out: it is limited, and connections have turns; the turns were long.

Why this works: the decoder stops after eight requests, or when the connection has to wait, and goes on in the connection's next turn. The rest counts in the queue's memory until then, and a connection with a rest is not read on behind it.

The two new tests of HttpFrontendTest fail with the limit out (113 requests before the other's; the poll's answer second). ReceiveQueueTest: a read counts until it is processed, which its first test now asks for as well.

--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -31,6 +31,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -76,6 +77,8 @@
      * the final answers, notices and calls of an iteration are sent before the next reads are processed.
      */
     private static final int READS_PER_ITERATION = 16;
+    /** The number of requests of one connection that are processed before the next connection's: one read may hold hundreds. */
+    static final int REQUESTS_PER_TURN = 8;
     /** Limit on the bytes of one read: it also limits the work that one read can cause. */
     static final int MAX_READ_BYTES = 16 * 1024;
     /** Limit on the received data of one connection that is not decoded yet: a largest request with its header. */
@@ -269,7 +272,7 @@
         }
     }
 
-    /** Processes the oldest reads, one of each connection in turn. */
+    /** Processes the oldest reads, one of each connection in turn, or the first requests of it. */
     private void processReads() {
         if (trace != null) {
             trace.enter(Trace.Part.READS);
@@ -308,7 +311,7 @@
             return;
         }
         try {
-            client.decoder.decode(source.take());
+            client.processTurn();
         } catch (Exception e) {
             // An error in one request must not leave the following ones unanswered.
             Log.warn("front.request_failed", "cause", e);
@@ -361,10 +364,16 @@
         }
     }
 
-    /** Netty's decoder, which queues received data first and reports whether data remains after a complete request. */
+    /**
+     * Netty's decoder, which queues received data first, stops after a number of requests and reports whether data remains after
+     * a complete request.
+     */
     private final class RequestDecoder extends HttpRequestDecoder {
         private final ClientConnection client;
         private ChannelHandlerContext context;
+        private int requestsLeft;
+        /** Whether data was left that may hold a complete request. */
+        private boolean stopped;
 
         RequestDecoder(ClientConnection client) {
             this.client = client;
@@ -381,8 +390,24 @@
             client.dataReceived((ByteBuf) bytes);
         }
 
-        void decode(ByteBuf bytes) throws Exception {
+        /** Decodes what was left of the data before and then this, up to a number of requests; returns whether data is left again. */
+        boolean decode(ByteBuf bytes, int maxRequests) throws Exception {
+            requestsLeft = maxRequests;
+            stopped = false;
             super.channelRead(context, bytes);
+            return stopped;
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> decoded) throws Exception {
+            if (requestsLeft == 0 || !client.mayProcess()) {
+                stopped = true;
+                return;
+            }
+            super.decode(ctx, in, decoded);
+            if (!decoded.isEmpty() && decoded.get(decoded.size() - 1) instanceof LastHttpContent) {
+                requestsLeft--;
+            }
         }
 
         /** Leaves the headers unchanged: {@link RequestFramingValidator} rejects such a request. */
@@ -505,11 +530,24 @@
             if (entry.state() == ClientConnections.State.CLOSING) {
                 return;
             }
-            boolean mayProcess = channel.isWritable() && entry.state() != ClientConnections.State.POLLING;
+            boolean mayProcess = mayProcess();
             unread.suspend(!mayProcess);
             channel.config().setAutoRead(mayProcess && unread.mayRead());
         }
 
+        private boolean mayProcess() {
+            return channel.isWritable() && entry.state() != ClientConnections.State.POLLING;
+        }
+
+        /** Processes the oldest read, or some requests of it. */
+        private void processTurn() throws Exception {
+            ByteBuf bytes = unread.hasRest() ? Unpooled.EMPTY_BUFFER : unread.take();
+            boolean rest = decoder.decode(bytes, REQUESTS_PER_TURN);
+            if (!rest) {
+                unread.processed();
+            }
+        }
+
         @Override
         public void timedOut() {
             if (hasUnread()) {
--- a/src/main/java/slipfield/front/http/ReceiveQueue.java
+++ b/src/main/java/slipfield/front/http/ReceiveQueue.java
@@ -34,6 +34,8 @@
         private final C connection;
         private final Deque<ByteBuf> reads = new ArrayDeque<>(2);
         private long sourceBytes;
+        /** The memory of the read that is being processed, in bytes; 0 if there is none. */
+        private long currentBytes;
         private boolean suspended;
         private boolean inTurn;
 
@@ -47,12 +49,21 @@
 
         /** Whether it has reads that only wait for their turn. */
         boolean awaitsTurn() {
-            return !suspended && !reads.isEmpty();
+            return !suspended && !isEmpty();
+        }
+
+        private boolean isEmpty() {
+            return reads.isEmpty() && currentBytes == 0;
+        }
+
+        /** Whether a part of the read that was taken last is not processed yet; it comes before the next read. */
+        boolean hasRest() {
+            return currentBytes > 0;
         }
 
         /** Whether more may be read from the connection now. */
         boolean mayRead() {
-            return reads.isEmpty() || sourceBytes < maxSourceBytes && bytes < maxBytes;
+            return isEmpty() || sourceBytes < maxSourceBytes && bytes < maxBytes;
         }
 
         /** Adds a read, which the queue owns from now on. */
@@ -62,13 +73,19 @@
             enterTurn();
         }
 
-        /** Removes the oldest read, which the caller owns from now on. */
+        /** Removes the oldest read, which the caller owns from now on. Its memory counts until it is {@link #processed}. */
         ByteBuf take() {
             ByteBuf read = reads.removeFirst();
-            count(-read.capacity());
+            currentBytes = read.capacity();
             return read;
         }
 
+        /** The read that was taken last is processed completely. */
+        void processed() {
+            count(-currentBytes);
+            currentBytes = 0;
+        }
+
         /** Sets whether the reads are kept back for now: while they are, the connection gets no turn. */
         void suspend(boolean newSuspended) {
             suspended = newSuspended;
@@ -77,8 +94,10 @@
 
         /** Discards all reads. */
         void clear() {
+            processed();
             while (!reads.isEmpty()) {
                 take().release();
+                processed();
             }
         }
 
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -24,9 +24,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import slipfield.core.AnswerPolling;
 import slipfield.core.MessageIntake;
 import slipfield.journal.AnswerRecipient;
 import slipfield.journal.PendingMessage;
@@ -205,6 +207,78 @@
         assertTrue(mostUnread.get() <= maxUnreadBytes + clients * HttpFrontend.MAX_READ_BYTES, mostUnread.toString());
     }
 
+    /** Guards against a read of hundreds of small requests that is processed in one piece: others waited for over a second. */
+    @Test
+    void oneReadOfManySmallRequestsHoldsUpNoOtherConnection() throws Exception {
+        int smallRequests = 900;
+        EventLoop loop = group.next();
+        AtomicLong processed = new AtomicLong();
+        AtomicLong processedBefore = new AtomicLong();
+        HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
+                new EmptyIntake() {
+                    @Override
+                    public boolean knowsClass(String name) {
+                        if (name.equals("usual")) {
+                            processedBefore.set(processed.get());
+                        }
+                        processed.incrementAndGet();
+                        return false;
+                    }
+                });
+        InetSocketAddress address = frontend.listen();
+        List<BufferedInputStream> answers = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+            Stub.write(sockets.get(i), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+            answers.add(new BufferedInputStream(sockets.get(i).getInputStream()));
+            assertEquals("HTTP/1.1 200 OK", Stub.read(answers.get(i), 0).line());
+        }
+        CountDownLatch written = new CountDownLatch(1);
+        blockLoop(loop, written);
+        Stub.write(sockets.get(0), "GET / HTTP/1.1\r\n\r\n".repeat(smallRequests));
+        Stub.write(sockets.get(1), "GET /usual HTTP/1.1\r\nHost: x\r\n\r\n");
+        written.countDown();
+        assertEquals("HTTP/1.1 404 Not Found", Stub.read(answers.get(1), 0).line());
+        for (int i = 0; i < smallRequests; i++) {
+            assertEquals("HTTP/1.1 404 Not Found", Stub.read(answers.get(0), 0).line());
+        }
+        assertTrue(processedBefore.get() <= HttpFrontend.REQUESTS_PER_TURN, processedBefore.toString());
+    }
+
+    /** Guards against answers in another order than their requests, by which a client takes one for another. */
+    @Test
+    void aRequestBehindAPollInTheSameReadIsAnsweredAfterIt() throws Exception {
+        AtomicReference<Consumer<String>> poll = new AtomicReference<>();
+        HttpFrontend frontend = new HttpFrontend(group.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
+                new EmptyIntake(), new HttpFrontend.Extensions(-1, false, Optional.of(new PollRecorder(poll))));
+        InetSocketAddress address = frontend.listen();
+        sockets.add(new Socket(address.getAddress(), address.getPort()));
+        Stub.write(sockets.get(0), "GET /ends?client=a&after=&wait_ms=9000 HTTP/1.1\r\nHost: x\r\n\r\n"
+                + "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        Stub.await("the poll has come", () -> poll.get() != null);
+        group.next().submit(() -> poll.get().accept("answers")).sync();
+        BufferedInputStream in = new BufferedInputStream(sockets.get(0).getInputStream());
+        assertEquals("answers", Stub.read(in, 0).body());
+        assertEquals("HTTP/1.1 200 OK", Stub.read(in, 0).line());
+    }
+
+    private record PollRecorder(AtomicReference<Consumer<String>> last) implements AnswerPolling {
+        @Override
+        public AnswerRecipient recipient(String peer) {
+            return AnswerRecipient.PLATFORM;
+        }
+
+        @Override
+        public Poll poll(String peer, String after, long waitMs, Consumer<String> then) {
+            last.set(then);
+            return () -> { };
+        }
+
+        @Override
+        public void release() {
+        }
+    }
+
     /** Its requests are not processed meanwhile, and must not keep it connected as those of a late sender do. */
     @Test
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
--- a/src/test/java/slipfield/front/http/ReceiveQueueTest.java
+++ b/src/test/java/slipfield/front/http/ReceiveQueueTest.java
@@ -28,6 +28,8 @@
         assertFalse(first.mayRead());
         assertTrue(second.mayRead());
         first.take().release();
+        assertFalse(first.mayRead(), "it still counts while it is processed");
+        first.processed();
         assertTrue(first.mayRead());
     }
 
@@ -73,6 +75,25 @@
         ReceiveQueue<String>.Source next = queue.beginTurn();
         assertEquals(connection, next.connection());
         next.take().release();
+        next.processed();
         queue.endTurn(next);
     }
+
+    /** Guards against one read of hundreds of requests that others have to wait for, and against a rest that is forgotten. */
+    @Test
+    void theRestOfAReadHasAnotherTurnAfterThoseOfOthers() {
+        first.add(read(400));
+        second.add(read(1));
+        ReceiveQueue<String>.Source begun = queue.beginTurn();
+        begun.take().release();
+        queue.endTurn(begun);
+        assertTrue(first.hasRest());
+        assertFalse(first.mayRead());
+        assertTurn("second");
+        assertEquals(first, queue.beginTurn());
+        first.clear();
+        queue.endTurn(first);
+        assertEquals(0, queue.bytes());
+        assertFalse(queue.hasReady());
+    }
 }
