Tests: an error within a request, and an incomplete request that was answered

An error in the processing of a request ends the process: fails (nothing ends it) without the check in exceptionCaught of client connections. An incomplete request that was answered with 408 and waits for its close gets no second answer when room is made: fails (a 503 behind the 408) without the look at its state. Nothing but tests changed. Still without a test: a delivery that the AMQP front accepts while it closes.

Looked at and ruled out on the way: a broker's link whose delivery could not be handled stays mute. A test with a handler that throws for as many deliveries as the prefetch allows passed on the code as it is: the link is closed after the first, and all come again. The test was not kept.

--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -32,6 +32,7 @@
 import slipfield.core.MessageIntake;
 import slipfield.journal.AnswerRecipient;
 import slipfield.journal.PendingMessage;
+import slipfield.log.FatalErrors;
 import slipfield.standin.Stub;
 
 /** The HTTP frontend without a sender: the limit on client connections, and the order of journal writes and answers. */
@@ -324,6 +325,45 @@
         assertEquals(List.of("id-1", "id-2"), intake.submittedIds);
     }
 
+    /** Guards against a client that takes a second answer for that of its next request. */
+    @Test
+    void anIncompleteRequestThatWasAnsweredGetsNoSecondAnswer() throws Exception {
+        EventLoop loop = group.next();
+        HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
+                new RecordingIntake(), HttpFrontend.Extensions.NONE, new HttpFrontend.MemoryLimits(1_000_000, 50_000));
+        InetSocketAddress address = frontend.listen();
+        String incomplete = "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 45000\r\n\r\n" + "x".repeat(44_999);
+        sockets.add(new Socket(address.getAddress(), address.getPort()));
+        Stub.write(sockets.get(0), incomplete);
+        BufferedInputStream in = new BufferedInputStream(sockets.get(0).getInputStream());
+        assertEquals("HTTP/1.1 408 Request Timeout", Stub.read(in, 0).line());
+        sockets.add(new Socket(address.getAddress(), address.getPort()));
+        Stub.write(sockets.get(1), incomplete);
+        assertEquals("", new String(in.readAllBytes(), StandardCharsets.US_ASCII));
+    }
+
+    /** Guards against a process that stays after a request whose processing met an error such as a lack of memory. */
+    @Test
+    void anErrorInTheProcessingOfARequestEndsTheProcess() throws Exception {
+        CountDownLatch terminated = new CountDownLatch(1);
+        FatalErrors.terminateBy(terminated::countDown);
+        try {
+            HttpFrontend frontend = new HttpFrontend(group.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    MAX_CLIENTS, new EmptyIntake() {
+                        @Override
+                        public boolean knowsClass(String name) {
+                            throw new OutOfMemoryError("forced");
+                        }
+                    });
+            InetSocketAddress address = frontend.listen();
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+            submit(sockets.get(0), "id-0");
+            assertTrue(terminated.await(10, TimeUnit.SECONDS));
+        } finally {
+            FatalErrors.terminateBy(() -> { });
+        }
+    }
+
     /** Found on reload days: an orderly shutdown reset connections that a late event loop had not accepted yet. */
     @Test
     void whoHasConnectedBeforeTheListenerClosesIsAnswered() throws Exception {
