HTTP front: the request decoder and the answers in files of their own

RequestDecoder asks its connection through an interface of two methods, HttpAnswers makes answers and refusals.

--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -16,7 +16,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,16 +25,12 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -355,71 +350,15 @@
         accepted.clear();
         for (AcceptedMessage a : batch) {
             if (written || intake.isRecorded(a.message)) {
-                a.client.send(a.keepAlive, answer(HttpResponseStatus.ACCEPTED, ""))
+                a.client.send(a.keepAlive, HttpAnswers.of(HttpResponseStatus.ACCEPTED, ""))
                         .addListener(f -> intake.acceptanceReported(a.message, f.isSuccess()));
             } else {
                 intake.acceptanceReported(a.message, false);
-                a.client.send(a.keepAlive, answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room"));
+                a.client.send(a.keepAlive, HttpAnswers.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room"));
             }
         }
     }
 
-    /**
-     * Netty's decoder, which queues received data first, stops after a number of requests and reports whether data remains after
-     * a complete request.
-     */
-    private final class RequestDecoder extends HttpRequestDecoder {
-        private final ClientConnection client;
-        private ChannelHandlerContext context;
-        private int requestsLeft;
-        /** Whether data was left that may hold a complete request. */
-        private boolean stopped;
-
-        RequestDecoder(ClientConnection client) {
-            this.client = client;
-        }
-
-        @Override
-        public void handlerAdded(ChannelHandlerContext ctx) throws Exception {
-            super.handlerAdded(ctx);
-            context = ctx;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-            client.dataReceived((ByteBuf) bytes);
-        }
-
-        /** Decodes what was left of the data before and then this, up to a number of requests; returns whether data is left again. */
-        boolean decode(ByteBuf bytes, int maxRequests) throws Exception {
-            requestsLeft = maxRequests;
-            stopped = false;
-            super.channelRead(context, bytes);
-            return stopped;
-        }
-
-        @Override
-        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> decoded) throws Exception {
-            if (requestsLeft == 0 || !client.mayProcess()) {
-                stopped = true;
-                return;
-            }
-            super.decode(ctx, in, decoded);
-            if (!decoded.isEmpty() && decoded.get(decoded.size() - 1) instanceof LastHttpContent) {
-                requestsLeft--;
-            }
-        }
-
-        /** Leaves the headers unchanged: {@link RequestFramingValidator} rejects such a request. */
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        }
-
-        boolean hasMoreData() {
-            return actualReadableBytes() > 0;
-        }
-    }
-
     /** Collects request bodies. A body over {@link #MAX_BODY_BYTES} is answered with 413, and the rest of it is not read. */
     private final class BodyAggregator extends HttpObjectAggregator {
         private final ClientConnection client;
@@ -455,7 +394,7 @@
 
     /** A client connection. */
     private final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest>
-            implements ClientConnections.Connection {
+            implements ClientConnections.Connection, RequestDecoder.Connection {
         private final Channel channel;
         private final RequestDecoder decoder = new RequestDecoder(this);
         private final BodyAggregator aggregator = new BodyAggregator(this);
@@ -499,7 +438,8 @@
         }
 
         /** Data was received: it starts the time limit of the request, and the connection is not idle any more. */
-        private void dataReceived(ByteBuf data) {
+        @Override
+        public void dataReceived(ByteBuf data) {
             requestStarted = true;
             if (entry.state() == ClientConnections.State.CLOSING) {
                 // Data that follows the last request may be part of its body.
@@ -530,12 +470,12 @@
             if (entry.state() == ClientConnections.State.CLOSING) {
                 return;
             }
-            boolean mayProcess = mayProcess();
-            unread.suspend(!mayProcess);
-            channel.config().setAutoRead(mayProcess && unread.mayRead());
+            unread.suspend(!mayProcess());
+            channel.config().setAutoRead(mayProcess() && unread.mayRead());
         }
 
-        private boolean mayProcess() {
+        @Override
+        public boolean mayProcess() {
             return channel.isWritable() && entry.state() != ClientConnections.State.POLLING;
         }
 
@@ -574,7 +514,7 @@
         private void answerAndClose(HttpResponseStatus status, String text) {
             setState(ClientConnections.State.CLOSING);
             channel.config().setAutoRead(false);
-            FullHttpResponse answer = answer(status, text);
+            FullHttpResponse answer = HttpAnswers.of(status, text);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(answer);
         }
@@ -596,7 +536,7 @@
             if (request.decoderResult().isFailure()) {
                 answerAndClose(HttpResponseStatus.BAD_REQUEST, "not HTTP");
             } else if (path.equals("/healthz")) {
-                FullHttpResponse health = answer(intake.ready() ? HttpResponseStatus.OK
+                FullHttpResponse health = HttpAnswers.of(intake.ready() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
                 if (extensions.reconnectMs() >= 0) {
                     health.headers().set("X-Reconnect-Within-Ms", extensions.reconnectMs());
@@ -647,14 +587,7 @@
             if (result.message().isPresent()) {
                 accepted.add(new AcceptedMessage(this, result.message().get(), HttpUtil.isKeepAlive(request)));
             } else {
-                FullHttpResponse refusal = answer(HttpResponseStatus.SERVICE_UNAVAILABLE, result.reason());
-                if (result.waitMs() > 0) {
-                    refusal.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(result.waitMs()));
-                    if (extensions.waitScope()) {
-                        refusal.headers().set("X-Wait-Scope", result.destination() ? "destination" : "sender");
-                    }
-                }
-                send(request, refusal);
+                send(request, HttpAnswers.refusal(result, extensions.waitScope()));
             }
         }
 
@@ -679,7 +612,7 @@
                 setState(ClientConnections.State.IDLE);
                 updateReading();
                 scheduleProcessing();
-                FullHttpResponse answer = answer(HttpResponseStatus.OK, lines);
+                FullHttpResponse answer = HttpAnswers.of(HttpResponseStatus.OK, lines);
                 answer.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson");
                 send(keepAlive, answer);
             });
@@ -693,7 +626,7 @@
         }
 
         private ChannelFuture send(FullHttpRequest request, HttpResponseStatus status, String text) {
-            return send(request, answer(status, request.method().equals(HttpMethod.HEAD) ? "" : text));
+            return send(request, HttpAnswers.of(status, request.method().equals(HttpMethod.HEAD) ? "" : text));
         }
 
         private ChannelFuture send(FullHttpRequest request, FullHttpResponse answer) {
@@ -724,16 +657,4 @@
             ctx.close();
         }
     }
-
-    /** Formats milliseconds as seconds with three decimals, for {@code Retry-After}. */
-    private static String seconds(long ms) {
-        return ms / 1000 + "." + Long.toString(1000 + ms % 1000).substring(1);
-    }
-
-    private static FullHttpResponse answer(HttpResponseStatus status, String text) {
-        FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
-        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
-        return answer;
-    }
 }
