AMQP: headers count among what is unsettled, so that publishers of large ones are paused

Four publishers that are allowed to publish send 400 orders each with headers of 35 KB to a venue that does not answer; the sender runs out of memory and ends, with its default limits and the flags of the deploy file.

Cause: unsettled publications are limited by number and by octets, over which their connections are paused, but only bodies counted as octets. A publication keeps its properties until it is settled, and they may take nearly a frame: 2,000 of them hold many times the heap. The same for publications whose body has yet to come.

Why this works: what a publication takes is its body and an estimate of its properties, by value, since small values in a table take far more memory than octets in a frame. The limits stay as they were set.

--- a/src/main/java/slipfield/amqp/Publication.java
+++ b/src/main/java/slipfield/amqp/Publication.java
@@ -11,4 +11,8 @@
  */
 public record Publication(long tag, AmqpConfig.User user, String exchange, String routingKey, Properties properties,
         byte[] body, RedeliveryRule.Origin origin) {
+    /** About how much memory it takes, in octets. */
+    public long octets() {
+        return body.length + properties.octets();
+    }
 }
--- a/src/main/java/slipfield/amqp/codec/Properties.java
+++ b/src/main/java/slipfield/amqp/codec/Properties.java
@@ -68,6 +68,11 @@
         return (Map<String, Object>) values.getOrDefault(Property.HEADERS, Map.of());
     }
 
+    /** About how much memory the values take, in octets. */
+    public long octets() {
+        return ValueCodec.memoryOctets(values.values());
+    }
+
     static Properties read(ByteBuf in) throws AmqpError {
         if (in.readableBytes() < 2) {
             throw new AmqpError(ReplyCode.SYNTAX_ERROR, "a content header without property flags");
--- a/src/main/java/slipfield/amqp/codec/ValueCodec.java
+++ b/src/main/java/slipfield/amqp/codec/ValueCodec.java
@@ -6,6 +6,7 @@
 import java.math.BigInteger;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Date;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,6 +21,8 @@
     /** Limits the nesting of tables and arrays, so that a frame can't overflow the stack. */
     private static final int MAX_DEPTH = 16;
     private static final int MAX_SHORTSTR = 255;
+    /** About how much memory an object takes besides its content: its header, and its entry in a table. */
+    private static final int OBJECT_OCTETS = 64;
 
     private ValueCodec() {
     }
@@ -59,6 +62,24 @@
         }
     }
 
+    /** About how much memory these values take, in octets. Small values take far more than in a frame. */
+    static long memoryOctets(Collection<?> values) {
+        long octets = 0;
+        for (Object value : values) {
+            octets += OBJECT_OCTETS;
+            if (value instanceof String text) {
+                octets += text.length();
+            } else if (value instanceof byte[] bytes) {
+                octets += bytes.length;
+            } else if (value instanceof Map<?, ?> table) {
+                octets += memoryOctets(table.keySet()) + memoryOctets(table.values());
+            } else if (value instanceof List<?> array) {
+                octets += memoryOctets(array);
+            }
+        }
+        return octets;
+    }
+
     private static void requireOctets(ByteBuf in, long octets) throws AmqpError {
         if (octets > in.readableBytes()) {
             throw new AmqpError(ReplyCode.SYNTAX_ERROR, "a field needs " + octets + " octets, and "
--- a/src/main/java/slipfield/amqp/server/ServerChannel.java
+++ b/src/main/java/slipfield/amqp/server/ServerChannel.java
@@ -90,11 +90,12 @@
             handleMethod(m.method());
         } else if (frame instanceof Frame.OfHeader h) {
             boolean complete = contents.header(h);
-            if (!connection.server().backpressure().tryStartBody(connection.id(), h.bodySize())) {
+            long octets = h.bodySize() + h.properties().octets();
+            if (!connection.server().backpressure().tryStartBody(connection.id(), octets)) {
                 throw new AmqpError(ReplyCode.RESOURCE_ERROR, "too many bodies are begun at once; send each whole",
                         MethodId.BASIC_PUBLISH);
             }
-            partialOctets = h.bodySize();
+            partialOctets = octets;
             contentRead(complete);
         } else if (frame instanceof Frame.OfBody b) {
             contentRead(contents.body(b));
@@ -130,7 +131,7 @@
     }
 
     private void addLoad(int sign, Publication publication) {
-        connection.server().backpressure().addLoad(connection.id(), sign, sign * (long) publication.body().length);
+        connection.server().backpressure().addLoad(connection.id(), sign, sign * publication.octets());
         connection.updateReading();
         if (sign < 0) {
             connection.server().resumePaused();
@@ -386,7 +387,7 @@
         new ArrayList<>(deliveries.settle(0, true).orElseThrow())
                 .forEach(one -> one.payload().settled(Receiver.Settlement.LOST, 0));
         for (Publication publication : open) {
-            connection.server().backpressure().addLoad(connection.id(), -1, -publication.body().length);
+            connection.server().backpressure().addLoad(connection.id(), -1, -publication.octets());
         }
         open.clear();
         connection.server().publishHandler().publisherClosed(this);
