AMQP: frames that are offered to clients fit into the heap on all connections together

Connections that log in, send most of a frame of the 131,072 octets that were agreed on, and stay: with the flags of the deploy file the sender ended for lack of memory at the 129th of 256.

Cause: a frame is handled once it is complete, so each connection may hold most of one, and nothing limited them together. They also took up the memory for direct buffers, 16 MB there, as AMQP connections lacked the setting of HTTP connections that keeps buffers on the heap.

Clients split larger bodies, as the protocol has it. A pause within a frame would not do, for only further reading completes it. What is configured is kept where it fits; log: amqp.frames_limited.

Measured: AmqpFloodTest.connectionsThatAllHoldMostOfAFrameTakeNoMemoryFromOthers: 256 connections stay and another logs in; without the change the process ends ("Connection reset").

Left: headers over the smaller frame can't be published any more (a header is one frame).

--- a/src/main/java/slipfield/amqp/decide/Tuning.java
+++ b/src/main/java/slipfield/amqp/decide/Tuning.java
@@ -14,6 +14,17 @@
     private static final int MIN_FRAME_OCTETS = 4096;
     private static final int MAX_CHANNELS = 65_535;
 
+    /**
+     * The same with smaller frames if those of all connections together would exceed this memory: a frame is handled only once it
+     * is complete, so each connection may hold most of one.
+     *
+     * @param octets the memory for incomplete frames
+     */
+    public Tuning within(long octets, int connections) {
+        long share = Math.max(MIN_FRAME_OCTETS, octets / connections);
+        return frameMax != 0 && frameMax <= share ? this : new Tuning(channelMax, (int) Math.min(Integer.MAX_VALUE, share), heartbeatMs);
+    }
+
     /** The agreed parameters after a client's tune-ok to this offer; empty if it asks for more than is allowed. */
     public Optional<Tuning> acceptTuneOk(long channels, long frame, long heartbeatSeconds) {
         int maxChannel = channelMax == 0 ? MAX_CHANNELS : channelMax;
--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -1,12 +1,14 @@
 package slipfield.amqp.server;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.ClientAuth;
@@ -30,7 +32,9 @@
 import slipfield.amqp.codec.FrameDecoder;
 import slipfield.amqp.codec.FrameEncoder;
 import slipfield.amqp.decide.Backpressure;
+import slipfield.amqp.decide.Tuning;
 import slipfield.config.Config;
+import slipfield.log.Log;
 import slipfield.log.LoggedTask;
 import slipfield.retry.Retry;
 import slipfield.socket.AcceptLoop;
@@ -52,6 +56,7 @@
     private static final int MAX_READ_BYTES = 16 * 1024;
     /** The number of frames that are not handled yet from which on no connection is read; below half of it, all are again. */
     private static final int MAX_UNHANDLED_FRAMES = 16 * 1024;
+    private static final int HEAP_PER_INCOMPLETE_FRAMES = 4;
     private static final int LOW_WATER = 32 * 1024;
     private static final int HIGH_WATER = 256 * 1024;
 
@@ -59,6 +64,7 @@
     private final AmqpConfig config;
     private final String epoch;
     private final Backpressure backpressure;
+    private final Tuning tuning;
     private final Authenticator authenticator;
     private final Map<Integer, ServerConnection> connections = new LinkedHashMap<>();
     private final Deque<ServerConnection> pending = new ArrayDeque<>();
@@ -93,6 +99,8 @@
         this.config = config;
         this.epoch = epoch;
         this.backpressure = new Backpressure(config.limits().perConnection(), config.limits().total());
+        this.tuning = config.limits().tuning().within(Runtime.getRuntime().maxMemory() / HEAP_PER_INCOMPLETE_FRAMES,
+                config.limits().connections());
     }
 
     /** Sets the handlers of publications and of consumers. */
@@ -105,6 +113,10 @@
     public List<InetSocketAddress> listen() throws IOException {
         acceptLoop = Retry.within(Retry.START_MS, "amqp-accept", AcceptLoop::open);
         List<InetSocketAddress> addresses = new ArrayList<>();
+        if (tuning.frameMax() != config.limits().tuning().frameMax()) {
+            Log.info("amqp.frames_limited", "octets", tuning.frameMax(), "configured", config.limits().tuning().frameMax(),
+                    "connections", config.limits().connections());
+        }
         if (config.listen().isPresent()) {
             addresses.add(bind(config.listen().get(), channel -> { }));
         }
@@ -124,6 +136,8 @@
                 .handler(new ListenerChannel.AcceptFailureHandler())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Incomplete frames would otherwise take up the memory for direct buffers, which is smaller than the heap.
+                .childOption(ChannelOption.ALLOCATOR, new PreferHeapByteBufAllocator(ByteBufAllocator.DEFAULT))
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(64, 2048, MAX_READ_BYTES))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER, HIGH_WATER))
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -263,6 +277,11 @@
         }
     }
 
+    /** The parameters that are offered to clients. */
+    Tuning tuning() {
+        return tuning;
+    }
+
     Authenticator authenticator() {
         return authenticator;
     }
--- a/src/main/java/slipfield/amqp/server/ServerConnection.java
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -255,7 +255,7 @@
             if (result == Authenticator.Result.ACCEPTED) {
                 user = server.config().users().get(login.name());
                 state = State.TUNE_OK;
-                Tuning offer = server.config().limits().tuning();
+                Tuning offer = server.tuning();
                 send(0, MethodId.CONNECTION_TUNE, offer.channelMax(), (long) offer.frameMax(),
                         (int) (offer.heartbeatMs() / 1000));
             } else {
@@ -269,7 +269,7 @@
     }
 
     private void acceptTune(Method tuneOk) throws AmqpError {
-        Optional<Tuning> chosen = server.config().limits().tuning().acceptTuneOk(tuneOk.number("channel-max"),
+        Optional<Tuning> chosen = server.tuning().acceptTuneOk(tuneOk.number("channel-max"),
                 tuneOk.number("frame-max"), tuneOk.number("heartbeat"));
         if (chosen.isEmpty()) {
             throw new AmqpError(ReplyCode.NOT_ALLOWED, "tune-ok asks for more than was offered", MethodId.CONNECTION_TUNE_OK);
--- a/src/test/java/slipfield/daemon/AmqpFloodTest.java
+++ b/src/test/java/slipfield/daemon/AmqpFloodTest.java
@@ -1,5 +1,6 @@
 package slipfield.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.rabbitmq.client.AMQP;
@@ -9,6 +10,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -22,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import slipfield.amqp.codec.MethodId;
 import slipfield.standin.SenderProcess;
 import slipfield.standin.Stub;
 import slipfield.standin.TrialWorld;
@@ -32,6 +36,9 @@
 class AmqpFloodTest {
     private static final Pattern LISTENING = Pattern.compile("sender\\.listening .*address=127\\.0\\.0\\.1:(\\d+)");
     private static final long GIVE_UP_MS = 24_000;
+    private static final int CONNECTIONS = 256;
+    private static final byte BODY_FRAME = 3;
+    private static final int FRAME_OVERHEAD = 8;
     private static final int PUBLISHERS = 4;
     private static final int PUBLICATIONS_EACH = 400;
     private static final int HEADER_BYTES = 35_000;
@@ -100,4 +107,36 @@
         AmqpFixture.factory("desk", amqp.getPort()).newConnection().abort();
         assertTrue(connections.stream().allMatch(Connection::isOpen), this::log);
     }
+
+    /** Guards against connections that each send most of a frame and stay: 129 of them ended the process. */
+    @Test
+    void connectionsThatAllHoldMostOfAFrameTakeNoMemoryFromOthers() throws Exception {
+        List<RawPeer> peers = new ArrayList<>();
+        for (int i = 0; i < CONNECTIONS; i++) {
+            RawPeer peer = new RawPeer(amqp);
+            peers.add(peer);
+            peer.login("desk", AmqpFixture.PASSWORD);
+            long frameMax = peer.await(MethodId.CONNECTION_TUNE).number("frame-max");
+            peer.send(0, MethodId.CONNECTION_TUNE_OK, 0, frameMax, 0);
+            peer.send(0, MethodId.CONNECTION_OPEN, "/", "", false);
+            peer.await(MethodId.CONNECTION_OPEN_OK);
+            byte[] whole = ByteBuffer.allocate((int) frameMax).put(BODY_FRAME).putShort((short) 1).putInt((int) frameMax - FRAME_OVERHEAD)
+                    .array();
+            peer.socket.getOutputStream().write(whole, 0, whole.length - 1);
+        }
+        AmqpFixture.factory("desk", amqp.getPort()).newConnection().abort();
+        for (RawPeer peer : peers) {
+            assertFalse(isClosed(peer), this::log);
+            peer.close();
+        }
+    }
+
+    private static boolean isClosed(RawPeer peer) throws IOException {
+        peer.socket.setSoTimeout(1);
+        try {
+            return peer.socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException open) {
+            return false;
+        }
+    }
 }
