--- a/src/main/java/slipfield/amqp/decide/Tuning.java
+++ b/src/main/java/slipfield/amqp/decide/Tuning.java
@@ -22,7 +22,10 @@
      */
     public Tuning within(long octets, int connections) {
         long share = Math.max(MIN_FRAME_OCTETS, octets / connections);
-        return frameMax != 0 && frameMax <= share ? this : new Tuning(channelMax, (int) Math.min(Integer.MAX_VALUE, share), heartbeatMs);
+        if (frameMax != 0 && frameMax <= share) {
+            return this;
+        }
+        return new Tuning(channelMax, (int) Math.min(Integer.MAX_VALUE, share), heartbeatMs);
     }
 
     /** The agreed parameters after a client's tune-ok to this offer; empty if it asks for more than is allowed. */
--- a/src/test/java/slipfield/daemon/AmqpFloodTest.java
+++ b/src/test/java/slipfield/daemon/AmqpFloodTest.java
@@ -120,8 +120,8 @@
             peer.send(0, MethodId.CONNECTION_TUNE_OK, 0, frameMax, 0);
             peer.send(0, MethodId.CONNECTION_OPEN, "/", "", false);
             peer.await(MethodId.CONNECTION_OPEN_OK);
-            byte[] whole = ByteBuffer.allocate((int) frameMax).put(BODY_FRAME).putShort((short) 1).putInt((int) frameMax - FRAME_OVERHEAD)
-                    .array();
+            byte[] whole = ByteBuffer.allocate((int) frameMax).put(BODY_FRAME).putShort((short) 1)
+                    .putInt((int) frameMax - FRAME_OVERHEAD).array();
             peer.socket.getOutputStream().write(whole, 0, whole.length - 1);
         }
         AmqpFixture.factory("desk", amqp.getPort()).newConnection().abort();
