--- a/src/main/java/slipfield/rig/plan/Fault.java
+++ b/src/main/java/slipfield/rig/plan/Fault.java
@@ -28,6 +28,8 @@
         TERM(true, false),
         /** So many clients, the size, connect to a sender and ask nothing. */
         CROWD(true, false),
+        /** So many clients, the size, connect to a sender and never complete a request. */
+        HOSTILE_CROWD(true, false),
         /** This share of a sender's calls to open, connect and accept sockets fails, the size. */
         SOCKETS_FAIL(true, false),
         /** This share of a sender's reads and writes on sockets is interrupted, the size. */
--- a/src/main/java/slipfield/rig/plan/Schedule.java
+++ b/src/main/java/slipfield/rig/plan/Schedule.java
@@ -41,7 +41,8 @@
             Kind.VENUE_REFUSE, Kind.VENUE_RESET, Kind.VENUE_DRAIN, Kind.AGENT_SILENT, Kind.TERM, Kind.CROWD);
     private static final List<Kind> OUTAGES = List.of(Kind.VENUE_DOWN, Kind.VENUE_FAILING, Kind.VENUE_SHUT);
     /** What other draws leave out. */
-    private static final List<Kind> NOT_DRAWN_AT_RANDOM = List.of(Kind.TERM, Kind.CROWD, Kind.VENUE_FAILING, Kind.VENUE_SHUT);
+    private static final List<Kind> NOT_DRAWN_AT_RANDOM = List.of(Kind.TERM, Kind.CROWD, Kind.HOSTILE_CROWD, Kind.VENUE_FAILING,
+            Kind.VENUE_SHUT);
     private static final long KILLED_FOR_MS = 650;
     /** More than the connections that a sender of the rig has for clients: 0.6 of 2048 less 48. */
     private static final int CROWD = 1300;
@@ -100,7 +101,14 @@
 
     /** The same with system calls that fail, clocks that are set, and signals in series. */
     public static Schedule drawnWithCalls(RandomGenerator random, int senders, int venues, long lengthMs) {
-        return drawn(random, senders, venues, lengthMs, WITH_CALLS);
+        Schedule drawn = drawn(random, senders, venues, lengthMs, WITH_CALLS);
+        return new Schedule(senders, venues, lengthMs,
+                drawn.faults.stream().map(fault -> random.nextBoolean() ? hostile(fault) : fault).toList());
+    }
+
+    private static Fault hostile(Fault fault) {
+        return fault.kind() != Kind.CROWD ? fault : new Fault(Kind.HOSTILE_CROWD, fault.atMs(), fault.forMs(), fault.senders(),
+                fault.others(), fault.size());
     }
 
     private static Schedule drawn(RandomGenerator random, int senders, int venues, long lengthMs, List<Kind> kinds) {
@@ -153,7 +161,7 @@
             case VENUE_SLOW, NOTES_SLOW -> 20 + random.nextInt(480);
             case VENUE_NARROW -> 2000 + random.nextInt(30_000);
             case NOTES_LOST, NOTES_DOUBLED -> (1 + random.nextInt(9)) / 10.0;
-            case CROWD -> CROWD;
+            case CROWD, HOSTILE_CROWD -> CROWD;
             case STARVE -> 2 + random.nextInt(5);
             case SOCKETS_FAIL, READS_INTERRUPTED, READS_SHORT, DISK_FAIL -> (2 + random.nextInt(9)) / 10.0;
             case CLOCK_AHEAD, CLOCK_BEHIND -> random.nextBoolean() ? 1000 + random.nextInt(9000) : CLOCK_HOUR_MS;
--- a/src/main/java/slipfield/standin/Child.java
+++ b/src/main/java/slipfield/standin/Child.java
@@ -107,11 +107,24 @@
 
     /** Its resident memory in kB, if the system tells. */
     Optional<Long> residentKb() throws IOException {
+        return statusKb("VmRSS:");
+    }
+
+    /** The most resident memory that it has had, in kB, if the system tells. */
+    Optional<Long> peakResidentKb() throws IOException {
+        return statusKb("VmHWM:");
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    private Optional<Long> statusKb(String field) throws IOException {
         Path status = Path.of("/proc", Long.toString(process.pid()), "status");
         if (!Files.exists(status)) {
             return Optional.empty();
         }
-        return Files.readAllLines(status).stream().filter(line -> line.startsWith("VmRSS:"))
+        return Files.readAllLines(status).stream().filter(line -> line.startsWith(field))
                 .map(line -> Long.parseLong(line.replaceAll("\\D", ""))).findFirst();
     }
 
--- a/src/main/java/slipfield/standin/SenderProcess.java
+++ b/src/main/java/slipfield/standin/SenderProcess.java
@@ -106,6 +106,16 @@
         return life.residentKb();
     }
 
+    /** The most resident memory that the process of this life has had, in kB, if the system tells. */
+    public Optional<Long> peakResidentKb() throws IOException {
+        return life.peakResidentKb();
+    }
+
+    /** Whether the process of this life runs. */
+    public boolean isAlive() {
+        return life.isAlive();
+    }
+
     @Override
     public void close() {
         if (life != null) {
