An answer of thousands of header fields is invalid, and idle connections keep none of it

What callers saw: nothing yet; a related path of the incident. An endpoint may answer with a head of 8 KB in fields of four octets.

Cause: Netty's decoder limits the octets of a head, not its fields. Each field is an entry, a name and their arrays, some 100 to 160 bytes, so 2,000 of them take 200 to 400 KB. HttpTransport.Connection kept the head of its last answer until its next call, so each idle connection (up to 390 of them with 1,024 descriptors) held one: 78 MB of a heap of 48.

Fix: HeaderLimits counts the fields as they are decoded and ends the message at 100, in heads and trailers alike; a connection forgets the head with its call. 100 is what common servers allow; the protocol's answers have four.

Evidence: HttpTransportTest.anAnswerOfThousandsOfTinyFieldsIsInvalid failed before (outcome FULL, connection kept). Ruled out: 1xx answers (skipped line by line, no fields kept), bodies (counted, not kept).

--- a/src/main/java/slipfield/transport/http/HttpTransport.java
+++ b/src/main/java/slipfield/transport/http/HttpTransport.java
@@ -43,6 +43,7 @@
 import slipfield.config.Config;
 import slipfield.config.Params;
 import slipfield.core.Transport;
+import slipfield.http.HeaderLimits;
 import slipfield.journal.PendingMessage;
 import slipfield.log.FatalErrors;
 import slipfield.log.Log;
@@ -69,12 +70,6 @@
     private static final long ANSWER_TIMEOUT_MS = 1000;
     /** Delay before a connection is reused: data that arrives after an answer could be read as the next call's answer. */
     private static final long REUSE_DELAY_MS = 10;
-    private static final String RATE_PREFIX = Params.REPORTED_RATE + "=";
-    private static final String REMAINING_PREFIX = Params.REPORTED_REMAINING + "=";
-    /** Separates the entries of a load report. */
-    private static final Pattern REPORT_SEPARATOR = Pattern.compile("[,\\s]+");
-    /** Limit on the delay that an endpoint requests, in milliseconds; no message is pending for that long. */
-    private static final double MAX_DELAY_MS = 60_000;
 
     /** Header names are constants and need no validation; values are validated because some of them come from clients. */
     private static final HttpHeadersFactory HEADERS =
@@ -441,163 +436,22 @@
         }
     }
 
-    /**
-     * The delay in milliseconds that an answer requests in {@code Retry-After}; 0 if it is missing or invalid. The result is
-     * limited, because an infinite delay would stop a destination for good.
-     */
-    private static double requestedDelayMs(HttpResponse response) {
-        try {
-            double waitMs = Double.parseDouble(response.headers().get(HttpHeaderNames.RETRY_AFTER, "0")) * 1000;
-            return waitMs > 0 ? Math.min(waitMs, MAX_DELAY_MS) : 0;
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
-
-    /** The rate limit in the load report of an answer, such as {@code TEXT x0=0.4, x1=25}. Invalid entries are ignored. */
-    private static LimitReport limitReport(HttpResponse response) {
-        String report = response.headers().get("X-Load-Report");
-        if (report == null) {
-            return LimitReport.NOTHING;
-        }
-        double rate = 0;
-        double left = -1;
-        for (String entry : REPORT_SEPARATOR.split(report)) {
-            if (entry.startsWith(RATE_PREFIX)) {
-                rate = parseNumber(entry.substring(RATE_PREFIX.length()));
-            } else if (entry.startsWith(REMAINING_PREFIX)) {
-                left = parseNumber(entry.substring(REMAINING_PREFIX.length()));
-            }
-        }
-        return new LimitReport(rate, left);
-    }
-
-    private static double parseNumber(String text) {
-        try {
-            return Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
-    }
-
-    /**
-     * Reads the status line of each answer before the codec does. Status 200 ends the call at once, because nothing after it can
-     * change the result. An invalid status line ends it too: an answer whose header never ends would otherwise block the call
-     * until its time-out. Interim (1xx) answers are skipped; everything else is left to the codec.
-     */
-    private final class StatusLineReader extends ChannelInboundHandlerAdapter {
-        private static final int MAX_LENGTH = 4096;
-        private static final String PREFIX = "HTTP/1.";
-        private static final String COMMON_PREFIX = "HTTP/1.1 ";
-        /** HTTP/1.0 or 1.1, a status code of three digits, and an optional reason phrase. */
-        private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] (\\d{3})(?: .*)?");
-
-        private final Connection connection;
-        private final StringBuilder line = new StringBuilder();
-        private boolean inInterimAnswer;
-
-        StatusLineReader(Connection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object read) {
-            if (trace != null) {
-                trace.enter(Trace.Part.ANSWERS);
-            }
-            readStatusLine((ByteBuf) read);
-            ctx.fireChannelRead(read);
-            connection.startAnswerTimer();
-            if (trace != null) {
-                trace.leave();
-            }
-        }
-
-        private void readStatusLine(ByteBuf bytes) {
-            if (connection.call == null) {
-                // Data without a request: the state of the connection is unknown, so it is closed.
-                connection.close();
-            }
-            if (connection.awaitsStatusLine() && line.length() == 0 && !inInterimAnswer && readCommonStatusLine(bytes)) {
-                return;
-            }
-            for (int i = bytes.readerIndex(); i < bytes.writerIndex() && connection.awaitsStatusLine(); i++) {
-                connection.answerBegins();
-                append((char) (bytes.getByte(i) & 0xff));
-            }
-        }
-
-        /** Handles the common case, a complete HTTP/1.1 status line of a final answer in one read, without copying the line. */
-        private boolean readCommonStatusLine(ByteBuf bytes) {
-            int at = bytes.readerIndex();
-            int end = bytes.indexOf(at, Math.min(bytes.writerIndex(), at + MAX_LENGTH), (byte) '\n');
-            if (end - at < COMMON_PREFIX.length() + 4) {
-                return false;
-            }
-            for (int i = 0; i < COMMON_PREFIX.length(); i++) {
-                if (bytes.getByte(at + i) != COMMON_PREFIX.charAt(i)) {
-                    return false;
-                }
-            }
-            int code = 0;
-            for (int i = at + COMMON_PREFIX.length(); i < at + COMMON_PREFIX.length() + 3; i++) {
-                int digit = bytes.getByte(i) - '0';
-                if (digit < 0 || digit > 9) {
-                    return false;
-                }
-                code = 10 * code + digit;
-            }
-            byte separator = bytes.getByte(at + COMMON_PREFIX.length() + 3);
-            if (code < 200 || separator != ' ' && separator != '\r') {
-                return false;
-            }
-            connection.answerBegins();
-            connection.statusReceived(code);
-            return true;
-        }
-
-        private void append(char c) {
-            if (c != '\n') {
-                line.append(c);
-                // Data that is not HTTP may contain no line break at all, so the prefix is checked at once.
-                boolean notHttp = !inInterimAnswer && line.length() <= PREFIX.length()
-                        && !PREFIX.startsWith(line.toString());
-                if (notHttp || line.length() > MAX_LENGTH) {
-                    connection.invalidAnswer();
-                }
-                return;
-            }
-            String text = line.toString().stripTrailing();
-            line.setLength(0);
-            if (inInterimAnswer) {
-                inInterimAnswer = !text.isEmpty();
-                if (!inInterimAnswer) {
-                    connection.interimAnswerEnded();
-                }
-                return;
-            }
-            Matcher status = STATUS.matcher(text);
-            if (!status.matches() || status.group(1).equals("101")) {
-                connection.invalidAnswer();
-            } else if (status.group(1).startsWith("1")) {
-                inInterimAnswer = true;
-            } else {
-                connection.statusReceived(Integer.parseInt(status.group(1)));
-            }
-        }
-    }
-
     /** Netty's decoder, which also reports whether data remains after a complete answer. */
     private static final class AnswerDecoder extends HttpResponseDecoder {
+        AnswerDecoder(HeaderLimits headers) {
+            super(headers.decoderConfig());
+        }
+
         boolean hasMoreData() {
             return actualReadableBytes() > 0;
         }
     }
 
     /** A connection to an endpoint; it carries one call at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements StatusLineReader.Answers {
         private final Channel channel;
-        private final AnswerDecoder decoder = new AnswerDecoder();
+        private final HeaderLimits headers = new HeaderLimits();
+        private final AnswerDecoder decoder = new AnswerDecoder(headers);
         private Endpoint target;
         /** The address that it is connected to; the endpoint may have another one by now. */
         private InetSocketAddress address;
@@ -624,8 +478,28 @@
             answerBegun = false;
         }
 
+        @Override
+        public void readBegins() {
+            if (trace != null) {
+                trace.enter(Trace.Part.ANSWERS);
+            }
+            if (call == null) {
+                // Data without a request: the state of the connection is unknown, so it is closed.
+                close();
+            }
+        }
+
+        @Override
+        public void readEnded() {
+            startAnswerTimer();
+            if (trace != null) {
+                trace.leave();
+            }
+        }
+
         /** The first byte of the answer was received; the time limit of the answer applies from now on. */
-        private void answerBegins() {
+        @Override
+        public void answerBegins() {
             answerBegun = true;
         }
 
@@ -637,7 +511,8 @@
         }
 
         /** An interim (1xx) answer has ended. The time limit starts again with the next answer. */
-        private void interimAnswerEnded() {
+        @Override
+        public void interimAnswerEnded() {
             answerBegun = false;
             if (answerTimer != null) {
                 answerTimer.cancel(false);
@@ -645,11 +520,13 @@
             }
         }
 
-        private boolean awaitsStatusLine() {
+        @Override
+        public boolean awaitsStatusLine() {
             return call != null && !statusRead;
         }
 
-        private void statusReceived(int code) {
+        @Override
+        public void statusReceived(int code) {
             statusRead = true;
             if (code == 200) {
                 call.delivered();
@@ -657,7 +534,8 @@
         }
 
         /** The answer is invalid or does not end. The connection is closed, and further data is ignored. */
-        private void invalidAnswer() {
+        @Override
+        public void invalidAnswer() {
             if (call != null) {
                 call.invalidAnswer();
                 detachCall();
@@ -665,8 +543,10 @@
             close();
         }
 
-        /** Detaches the call from this connection. */
+        /** Detaches the call from this connection, which keeps nothing of its answer while it is idle. */
         private void detachCall() {
+            head = null;
+            headers.messageEnded();
             call.timer.cancel(false);
             if (answerTimer != null) {
                 answerTimer.cancel(false);
@@ -682,8 +562,8 @@
             }
             if (part instanceof HttpResponse response) {
                 head = response;
-                call.limitReport = limitReport(response);
-                call.requestedDelayMs = response.status().code() == 429 ? requestedDelayMs(response) : 0;
+                call.limitReport = AnswerFields.limitReport(response);
+                call.requestedDelayMs = response.status().code() == 429 ? AnswerFields.requestedDelayMs(response) : 0;
                 if (HttpUtil.getContentLength(response, 0L) > MAX_BODY_BYTES) {
                     invalidAnswer();
                     return;
--- a/src/test/java/slipfield/transport/http/HttpTransportTest.java
+++ b/src/test/java/slipfield/transport/http/HttpTransportTest.java
@@ -283,6 +283,20 @@
                 "no connection is reused");
     }
 
+    /** Guards against idle connections that keep the fields of their last answer: 200 KB of objects on each of hundreds. */
+    @Test
+    void anAnswerOfThousandsOfTinyFieldsIsInvalid() throws Exception {
+        String answer = " x\r\n" + "a:\r\n".repeat(1500) + "Content-Length: 0\r\n\r\n";
+        stub.script(raw("HTTP/1.1 503" + answer));
+        start(new byte[1], 600_000);
+        assertEquals(new End(AttemptOutcome.BROKEN, false, 0), end());
+        int before = stub.ended();
+        stub.script(raw("HTTP/1.1 200" + answer));
+        start(new byte[1], 600_000);
+        assertEquals(new End(AttemptOutcome.DELIVERED, false, 0), end());
+        Stub.await("the connection is closed", () -> stub.ended() > before);
+    }
+
     @Test
     void aStatusLineWith200IsADeliveryWhateverFollows() throws Exception {
         for (String rest : List.of("", "X-More: more", "\u0001\u0002\r\n\r\n", "Content-Length: many\r\n\r\n",
