What clients make the sender hold is limited by the heap it takes, all of it together

What callers saw: a sender ends by itself (exit status 3, Java heap space), and nobody has an answer until it is started again.

Cause: received octets were limited, some by themselves (unread data, bodies) and some not at all (heads, trailers, decoded parts, buffered answers). By objects they are far more: 8 KB of head in fields "a:" are 2,000 entries, names and arrays, 200 KB and over 400 while they are parsed; a body octet is a part of a composite buffer that keeps the whole read it came in. The class histogram before the end (200 heads, 44 MB): 396,000 HeaderEntry, 396,000 AsciiString, 410,000 byte[].

Fix: HeaderLimits ends a head or trailer at 100 fields (431). BodyAggregator merges the parts of a body, and a part is copied out of its read. MemoryBudget has an account of each connection, in bytes of heap: its channel and decoders, unread data, buffered answers, fields, and the part of a body. All accounts together may have a third of the heap; beyond that the largest incomplete requests are refused (503 with Retry-After), the oldest of a size first, so usual ones keep theirs. Answers are buffered up to 8 KB (64 KB before), a read has 8 KB at most (16), and the number of connections fits half of the budget. MemoryGuard and CloseCounts log who holds how much, what was reclaimed, and why connections were closed.

HttpFrontendTest.aRequestOfThousandsOfTinyFieldsIsRefusedAtOnce fails on the code before (no answer until the 408). Ruled out: unread data (its limit held), descriptors, direct buffers (16 MB never reached).

--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -31,6 +31,7 @@
 import slipfield.journal.PendingAnswer;
 import slipfield.log.FatalErrors;
 import slipfield.log.Log;
+import slipfield.memory.MemoryGuard;
 import slipfield.outcome.ends.ClientAnswers;
 import slipfield.outcome.ends.ClientsConfig;
 import slipfield.outcome.PlatformNotices;
@@ -57,6 +58,8 @@
     private InetSocketAddress agentAddress;
     private HttpTransport endpoints;
     private PlatformNotices notices;
+    /** Limits what peers make the sender hold, over all protocols together. */
+    private final MemoryGuard memory = MemoryGuard.ofHeap();
     private Discovery discovery;
     private HttpFrontend intake;
     /** Null unless the operator has set a file of endpoint sources; without it none of their classes are loaded. */
@@ -250,7 +253,8 @@
     @Override
     public List<Frontend> frontends(EventLoop loop, MessageIntake messageIntake) throws IOException {
         intake = new HttpFrontend(loop, config.listen(), maxClients, messageIntake, clients == null ? HttpFrontend.Extensions.NONE
-                : new HttpFrontend.Extensions(clients.reconnectMs(), clients.waitScope(), Optional.ofNullable(clientAnswers)));
+                : new HttpFrontend.Extensions(clients.reconnectMs(), clients.waitScope(), Optional.ofNullable(clientAnswers)),
+                memory);
         return amqp == null ? List.of(intake) : List.of(intake, amqp.frontend(messageIntake));
     }
 
--- a/src/main/java/slipfield/front/http/HttpAnswers.java
+++ b/src/main/java/slipfield/front/http/HttpAnswers.java
@@ -38,6 +38,13 @@
         return refusal;
     }
 
+    /** A refusal for want of room, with the time to come back. */
+    static FullHttpResponse refusal(String text, long waitMs) {
+        FullHttpResponse refusal = of(HttpResponseStatus.SERVICE_UNAVAILABLE, text);
+        refusal.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(waitMs));
+        return refusal;
+    }
+
     /** Formats milliseconds as seconds with three decimals, for {@code Retry-After}. */
     private static String seconds(long ms) {
         return ms / 1000 + "." + Long.toString(1000 + ms % 1000).substring(1);
--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -11,24 +11,23 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.PreferHeapByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -40,11 +39,14 @@
 import slipfield.core.AnswerPolling;
 import slipfield.core.Frontend;
 import slipfield.core.MessageIntake;
+import slipfield.http.HeaderLimits;
 import slipfield.journal.AnswerRecipient;
 import slipfield.journal.PendingMessage;
 import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 import slipfield.log.LoggedTask;
+import slipfield.memory.MemoryBudget;
+import slipfield.memory.MemoryGuard;
 import slipfield.retry.Retry;
 import slipfield.socket.AcceptLoop;
 import slipfield.socket.AutoReadGate;
@@ -68,14 +70,34 @@
     /** The number of reads from one connection before the event loop continues with the next one. */
     private static final int READS_PER_CONNECTION = 16;
     /**
-     * The number of reads that are processed in one event-loop iteration. Many requests at once would otherwise delay other work:
-     * the final answers, notices and calls of an iteration are sent before the next reads are processed.
+     * Limit on the work that is done for clients in one event-loop iteration, in units of about a microsecond: a turn of a
+     * connection is one, and so is a part of a request. Many requests at once would otherwise delay other work, since the final
+     * answers, notices and calls of an iteration are sent before the next reads are processed. Hundreds of clients that send
+     * single octets have to fit in, since others wait for their turn.
      */
-    private static final int READS_PER_ITERATION = 16;
+    private static final int WORK_PER_ITERATION = 512;
+    /** The work of a complete request, beside that of its parts. */
+    private static final int WORK_PER_REQUEST = 28;
     /** The number of requests of one connection that are processed before the next connection's: one read may hold hundreds. */
     static final int REQUESTS_PER_TURN = 8;
-    /** Limit on the bytes of one read: it also limits the work that one read can cause. */
-    static final int MAX_READ_BYTES = 16 * 1024;
+    /** The number of heads and parts of bodies that are decoded in one turn: one read may hold thousands of chunks. */
+    static final int PARTS_PER_TURN = Integer.MAX_VALUE;
+    /** Limit on the bytes of one read: it also limits the work, and with all connections the memory, that reads can cause. */
+    static final int MAX_READ_BYTES = 8 * 1024;
+    /** The heap that a connection takes by itself, in bytes: its channel, handlers and decoders, as measured. */
+    static final int BYTES_PER_CONNECTION = 6 * 1024;
+    /** A client is read on once less than this is left of its answers; no answer but those of polls is larger. */
+    private static final int LOW_WATER_BYTES = 4 * 1024;
+    /** A client is not read while more than this is left of its answers. */
+    private static final int HIGH_WATER_BYTES = 8 * 1024;
+    /** The heap that buffered answers take, as a multiple of their bytes. */
+    private static final int HEAP_PER_ANSWER_BYTE = 2;
+    /** When a client whose incomplete request was given up may try again: bad clients are closed by then. */
+    private static final long GIVEN_UP_WAIT_MS = 500;
+    /** Time between two logs of the closed connections and of the memory that clients hold. */
+    private static final long REPORT_MS = 5000;
+    /** The share of the memory budget, as a divisor, from which on only connections without received data are read. */
+    private static final int BUDGET_PER_UNREAD_DATA = 6;
     /** Limit on the received data of one connection that is not decoded yet: a largest request with its header. */
     private static final int MAX_UNREAD_BYTES_PER_CONNECTION = MAX_BODY_BYTES + MAX_READ_BYTES;
 
@@ -88,7 +110,8 @@
     private final ClientConnections connections;
     private final ServerBootstrap bootstrap;
     private final ReceiveQueue<ClientConnection> receiveQueue;
-    private final IncompleteBodies<ClientConnection> incompleteBodies;
+    private final MemoryGuard memory;
+    private final CloseCounts closeCounts = new CloseCounts();
     private final List<AcceptedMessage> accepted = new ArrayList<>();
     /** Null unless the sender is traced. */
     private Trace trace;
@@ -104,22 +127,6 @@
     private record AcceptedMessage(ClientConnection client, PendingMessage message, boolean keepAlive) {
     }
 
-    /**
-     * Limits on the memory for what clients have sent, for all connections together.
-     *
-     * @param unreadBytes limit on the received data that is not decoded yet
-     * @param incompleteBodyBytes limit on the bodies of which a part was received
-     */
-    record MemoryLimits(long unreadBytes, long incompleteBodyBytes) {
-        private static final int HEAP_PER_UNREAD_DATA = 16;
-        private static final int HEAP_PER_INCOMPLETE_BODIES = 4;
-
-        static MemoryLimits ofHeap() {
-            long heap = Runtime.getRuntime().maxMemory();
-            return new MemoryLimits(heap / HEAP_PER_UNREAD_DATA, heap / HEAP_PER_INCOMPLETE_BODIES);
-        }
-    }
-
     /**
      * Optional extensions of the protocol.
      *
@@ -133,9 +140,9 @@
         public static final Extensions NONE = new Extensions(-1, false, Optional.empty());
     }
 
-    /** Creates a frontend without protocol extensions. */
+    /** Creates a frontend without protocol extensions, and with a memory budget of its own. */
     public HttpFrontend(EventLoop loop, InetSocketAddress address, int maxClients, MessageIntake intake) {
-        this(loop, address, maxClients, intake, Extensions.NONE);
+        this(loop, address, maxClients, intake, Extensions.NONE, MemoryGuard.ofHeap());
     }
 
     /**
@@ -143,23 +150,26 @@
      *
      * @param address the address to listen at
      * @param maxClients the limit on client connections
+     * @param memory limits what clients make the sender hold
      */
-    public HttpFrontend(EventLoop loop, InetSocketAddress address, int maxClients, MessageIntake intake, Extensions extensions) {
-        this(loop, address, maxClients, intake, extensions, MemoryLimits.ofHeap());
+    public HttpFrontend(EventLoop loop, InetSocketAddress address, int maxClients, MessageIntake intake, Extensions extensions,
+            MemoryGuard memory) {
+        this(loop, address, maxClients, intake, extensions, memory, memory.budget().limitBytes() / BUDGET_PER_UNREAD_DATA);
     }
 
-    /** Creates a frontend with these limits on its memory. */
+    /** Creates a frontend with this limit on the received data that is not decoded yet. */
     HttpFrontend(EventLoop loop, InetSocketAddress address, int maxClients, MessageIntake intake, Extensions extensions,
-            MemoryLimits limits) {
-        this.receiveQueue = new ReceiveQueue<>(limits.unreadBytes(), MAX_UNREAD_BYTES_PER_CONNECTION);
-        this.incompleteBodies = new IncompleteBodies<>(limits.incompleteBodyBytes());
+            MemoryGuard memory, long maxUnreadBytes) {
+        this.receiveQueue = new ReceiveQueue<>(maxUnreadBytes, MAX_UNREAD_BYTES_PER_CONNECTION);
+        this.memory = memory;
         this.extensions = extensions;
         this.parser = new SubmissionParser(intake, extensions.polling());
         this.address = address;
         this.loop = loop;
         this.intake = intake;
-        this.maxClients = maxClients;
-        this.connections = new ClientConnections(maxClients);
+        // Half of the budget is left for what clients send.
+        this.maxClients = (int) Math.min(maxClients, Math.max(1, memory.budget().limitBytes() / 2 / BYTES_PER_CONNECTION));
+        this.connections = new ClientConnections(this.maxClients);
         bootstrap = new ServerBootstrap()
                 .channelFactory(ListenerChannel::new)
                 .handler(new ListenerChannel.AcceptFailureHandler())
@@ -168,6 +178,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // Direct buffers would be allocated and freed by the system for each read.
                 .childOption(ChannelOption.ALLOCATOR, new PreferHeapByteBufAllocator(ByteBufAllocator.DEFAULT))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
                 // Read until the socket is empty, so that a close that follows a request is noticed together with it.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(64, 2048, MAX_READ_BYTES).respectMaybeMoreData(false)
@@ -206,6 +217,7 @@
     @Override
     public InetSocketAddress listen() throws IOException {
         loop.scheduleWithFixedDelay(LoggedTask.of("front.sweep", connections::sweep), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(LoggedTask.of("front.report", this::report), REPORT_MS, REPORT_MS, TimeUnit.MILLISECONDS);
         acceptLoop = Retry.within(Retry.START_MS, "accept", AcceptLoop::open);
         bootstrap.group(acceptLoop.group(), loop);
         listener = Retry.within(Retry.START_MS, "listen", this::bind);
@@ -255,9 +267,14 @@
         return receiveQueue.bytes();
     }
 
-    /** The bytes of the bodies of which a part was received. Called on the event loop. */
-    long incompleteBodyBytes() {
-        return incompleteBodies.bytes();
+    /** The number of connections that were closed for this reason. Called on the event loop. */
+    long closed(CloseReason reason) {
+        return closeCounts.count(reason);
+    }
+
+    private void report() {
+        closeCounts.report();
+        memory.report();
     }
 
     private void scheduleProcessing() {
@@ -273,12 +290,13 @@
             trace.enter(Trace.Part.READS);
         }
         try {
-            for (int i = 0; i < READS_PER_ITERATION; i++) {
+            int work = 0;
+            while (work < WORK_PER_ITERATION) {
                 ReceiveQueue<ClientConnection>.Source next = receiveQueue.beginTurn();
                 if (next == null) {
                     break;
                 }
-                processRead(next);
+                work += processRead(next);
             }
             answerAccepted();
         } finally {
@@ -298,26 +316,29 @@
      * waiting and will submit its message again under another id. Under overload, the delivery of such messages would cost work
      * without any use, and the repeated submissions would keep the sender overloaded. A client that shuts down its output and
      * still waits for the answer gets none, but HTTP clients do not do that.
+     *
+     * @return the work that this was, see {@link #WORK_PER_ITERATION}
      */
-    private void processRead(ReceiveQueue<ClientConnection>.Source source) {
+    private int processRead(ReceiveQueue<ClientConnection>.Source source) {
         ClientConnection client = source.connection();
         if (!client.channel.isActive()) {
             source.clear();
-            return;
+            return 1;
         }
+        int work = 1;
         try {
-            client.processTurn();
+            work += client.processTurn();
         } catch (Exception e) {
             // An error in one request must not leave the following ones unanswered.
             Log.warn("front.request_failed", "cause", e);
-            client.channel.close();
+            client.close(CloseReason.FAULT);
         } finally {
             receiveQueue.endTurn(source);
+            client.updateReading();
+            client.updateAccounts();
         }
-        client.updateReading();
-        for (Optional<ClientConnection> most = incompleteBodies.toGiveUp(); most.isPresent(); most = incompleteBodies.toGiveUp()) {
-            most.get().giveUpBody();
-        }
+        memory.enforce();
+        return work;
     }
 
     @Override
@@ -359,46 +380,15 @@
         }
     }
 
-    /** Collects request bodies. A body over {@link #MAX_BODY_BYTES} is answered with 413, and the rest of it is not read. */
-    private final class BodyAggregator extends HttpObjectAggregator {
-        private final ClientConnection client;
-
-        BodyAggregator(ClientConnection client) {
-            super(MAX_BODY_BYTES);
-            this.client = client;
-        }
-
-        @Override
-        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-            client.answerAndClose(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB");
-        }
-
-        @Override
-        protected void aggregate(FullHttpMessage aggregated, HttpContent content) throws Exception {
-            super.aggregate(aggregated, content);
-            incompleteBodies.received(client, content.content().readableBytes());
-        }
-
-        @Override
-        protected void finishAggregation(FullHttpMessage aggregated) throws Exception {
-            incompleteBodies.ended(client);
-            super.finishAggregation(aggregated);
-        }
-
-        @Override
-        public void handlerRemoved(ChannelHandlerContext ctx) throws Exception {
-            incompleteBodies.ended(client);
-            super.handlerRemoved(ctx);
-        }
-    }
-
     /** A client connection. */
     private final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest>
-            implements ClientConnections.Connection, RequestDecoder.Connection {
+            implements ClientConnections.Connection, RequestDecoder.Connection, MemoryBudget.Holder {
         private final Channel channel;
-        private final RequestDecoder decoder = new RequestDecoder(this);
-        private final BodyAggregator aggregator = new BodyAggregator(this);
+        private final HeaderLimits headers = new HeaderLimits();
+        private final RequestDecoder decoder = new RequestDecoder(this, headers);
+        private final BodyAggregator aggregator = new BodyAggregator(MAX_BODY_BYTES, this::bodyTooLarge);
         private final ClientConnections.Entry entry = new ClientConnections.Entry(this);
+        private final MemoryBudget.Account account = memory.budget().open("http_clients", this);
         /** Whether the first byte of the next request has been received. */
         private boolean requestStarted;
         /** Whether a valid submission was received on this connection. */
@@ -415,6 +405,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(entry);
+            updateAccounts();
         }
 
         @Override
@@ -424,6 +415,11 @@
 
         @Override
         public void evict() {
+            close(closing ? CloseReason.LAST_REQUEST : CloseReason.EVICTED);
+        }
+
+        private void close(CloseReason reason) {
+            closeCounts.add(reason);
             channel.close();
         }
 
@@ -431,6 +427,7 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(entry);
             unread.clear();
+            account.close();
             if (poll != null) {
                 poll.cancel();
                 poll = null;
@@ -451,9 +448,26 @@
             }
             unread.add(data);
             updateReading();
+            updateAccounts();
             scheduleProcessing();
         }
 
+        /**
+         * Accounts for what this connection holds. Only an incomplete request can be given up: what was received after it or
+         * waits for its turn may be complete, and is owed an answer.
+         */
+        private void updateAccounts() {
+            long fixed = BYTES_PER_CONNECTION + unread.bytes() + HEAP_PER_ANSWER_BYTE * unsentAnswerBytes();
+            long request = decoder.heapBytes() + aggregator.heapBytes();
+            boolean incomplete = unread.isEmpty() && entry.state() != ClientConnections.State.CLOSING;
+            account.set(incomplete ? fixed : fixed + request, incomplete ? request : 0);
+        }
+
+        private long unsentAnswerBytes() {
+            ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+            return unsent == null ? 0 : unsent.totalPendingWriteBytes();
+        }
+
         private void setState(ClientConnections.State next) {
             connections.setState(entry, next);
             if (next == ClientConnections.State.CLOSING) {
@@ -479,13 +493,18 @@
             return channel.isWritable() && entry.state() != ClientConnections.State.POLLING;
         }
 
-        /** Processes the oldest read, or some requests of it. */
-        private void processTurn() throws Exception {
+        /**
+         * Processes the oldest read, or some requests of it.
+         *
+         * @return the work that this was, see {@link #WORK_PER_ITERATION}
+         */
+        private int processTurn() throws Exception {
             ByteBuf bytes = unread.hasRest() ? Unpooled.EMPTY_BUFFER : unread.take();
-            boolean rest = decoder.decode(bytes, REQUESTS_PER_TURN);
+            boolean rest = decoder.decode(bytes, REQUESTS_PER_TURN, PARTS_PER_TURN);
             if (!rest) {
                 unread.processed();
             }
+            return PARTS_PER_TURN - decoder.partsLeft() + WORK_PER_REQUEST * (REQUESTS_PER_TURN - decoder.requestsLeft());
         }
 
         @Override
@@ -494,31 +513,61 @@
                 // The sender is late, not the client: the request may have been received completely.
                 return;
             }
-            if (requestStarted && entry.state() != ClientConnections.State.CLOSING) {
-                answerAndClose(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time");
-            } else {
-                channel.close();
+            switch (entry.state()) {
+                // The reason was counted with the answer.
+                case CLOSING -> channel.close();
+                case IDLE, IDLE_LOW_PRIORITY -> close(CloseReason.IDLE);
+                default -> requestTimedOut();
             }
         }
 
-        /** Refuses a request of which only a part has come, to make room for others. */
-        private void giveUpBody() {
-            if (entry.state() != ClientConnections.State.CLOSING) {
-                answerAndClose(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many requests are incomplete");
+        private void requestTimedOut() {
+            if (!requestStarted) {
+                close(CloseReason.SILENT);
+                return;
             }
-            // Its handler releases the part of the body.
+            answerAndClose(HttpAnswers.of(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in time"),
+                    channel.isWritable() ? CloseReason.REQUEST_TIMEOUT : CloseReason.ANSWERS_UNREAD);
+            discardRequest();
+        }
+
+        /** Refuses a request of which only a part has come, to make room for others. */
+        @Override
+        public void reclaim() {
+            answerAndClose(HttpAnswers.refusal("too many requests are incomplete", GIVEN_UP_WAIT_MS), CloseReason.MEMORY);
+            discardRequest();
+        }
+
+        /** Releases the part of a request that has come. The handlers that are removed hold it; nothing is decoded any more. */
+        private void discardRequest() {
             channel.pipeline().remove(aggregator);
+            channel.pipeline().remove(decoder);
+            headers.discard();
+            updateAccounts();
+        }
+
+        private void bodyTooLarge() {
+            answerAndClose(HttpAnswers.of(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB"), CloseReason.TOO_LARGE);
         }
 
         /** Answers a request that was not read completely. The connection is closed after a short delay. */
-        private void answerAndClose(HttpResponseStatus status, String text) {
+        private void answerAndClose(FullHttpResponse answer, CloseReason reason) {
+            closeCounts.add(reason);
             setState(ClientConnections.State.CLOSING);
             channel.config().setAutoRead(false);
-            FullHttpResponse answer = HttpAnswers.of(status, text);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             channel.writeAndFlush(answer);
         }
 
+        private void answerInvalid(Throwable cause) {
+            if (cause instanceof TooLongHttpHeaderException) {
+                answerAndClose(HttpAnswers.of(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                        "header fields over 8 KiB, or over " + HeaderLimits.MAX_FIELDS), CloseReason.TOO_LARGE);
+            } else {
+                answerAndClose(HttpAnswers.of(HttpResponseStatus.BAD_REQUEST, "not HTTP"), CloseReason.INVALID);
+            }
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             if (awaitsJournal(this, "")) {
@@ -529,12 +578,13 @@
                 // Data that follows the last request may be part of its body.
                 return;
             }
+            headers.messageEnded();
             requestStarted = decoder.hasMoreData();
             setState(requestStarted ? ClientConnections.State.RECEIVING
                     : hasSubmitted ? ClientConnections.State.IDLE : ClientConnections.State.IDLE_LOW_PRIORITY);
             String path = request.uri().split("\\?", 2)[0];
             if (request.decoderResult().isFailure()) {
-                answerAndClose(HttpResponseStatus.BAD_REQUEST, "not HTTP");
+                answerInvalid(request.decoderResult().cause());
             } else if (path.equals("/healthz")) {
                 FullHttpResponse health = HttpAnswers.of(intake.ready() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
@@ -637,6 +687,7 @@
             if (!closing && keepAlive) {
                 return channel.writeAndFlush(answer);
             }
+            closeCounts.add(CloseReason.LAST_REQUEST);
             setState(ClientConnections.State.CLOSING);
             answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             return channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
@@ -645,6 +696,7 @@
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             updateReading();
+            updateAccounts();
             scheduleProcessing();
         }
 
@@ -654,7 +706,7 @@
             if (!(cause instanceof IOException || cause instanceof CodecException)) {
                 Log.warn("front.connection_closed", "cause", cause);
             }
-            ctx.close();
+            close(cause instanceof IOException ? CloseReason.CONNECTION_LOST : CloseReason.FAULT);
         }
     }
 }
--- a/src/main/java/slipfield/front/http/ReceiveQueue.java
+++ b/src/main/java/slipfield/front/http/ReceiveQueue.java
@@ -52,7 +52,13 @@
             return !suspended && !isEmpty();
         }
 
-        private boolean isEmpty() {
+        /** The memory of its reads, in bytes. */
+        long bytes() {
+            return sourceBytes;
+        }
+
+        /** Whether it has no reads, nor a part of one that is not processed. */
+        boolean isEmpty() {
             return reads.isEmpty() && currentBytes == 0;
         }
 
