Clients that never complete a request make room before those that submit orders

What callers saw: while bad clients take all connections and connect again whenever they are closed, a usual client's order gets no answer: its idle connection is closed for a newcomer, and its new one before its request was read.

Cause: ClientConnections evicted idle connections, also those used a moment ago, before any that had begun a second request or had undecoded data; a client that sends half a second request, or without end, was never chosen. And the newest connections of the last 100 ms were chosen before all idle ones, read or not. Each eviction looked at all connections: half of the event loop's samples at 3,000 a second.

Fix: connections are kept by rank. After closing and silent ones come those that have never submitted and either hold an incomplete request or have sent eight requests (answered 503 if one is incomplete), then as before; an idle connection only if it rests for a second. Where all are in use the newest is closed unread. A choice takes the first of a rank.

Ruled out: the 100 ms quantum of the loop's tasks (20 ms made no difference).

--- a/src/main/java/slipfield/front/http/ClientConnections.java
+++ b/src/main/java/slipfield/front/http/ClientConnections.java
@@ -1,9 +1,11 @@
 package slipfield.front.http;
 
 import java.util.EnumMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -32,13 +34,20 @@
     private static final double IDLE_SHARE = 0.45;
     /** For this long a new connection is evicted only after low-priority idle ones: its first request is probably on its way. */
     private static final long NEW_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** A connection that is idle for less than this is probably in use by a client that submits messages at short intervals. */
+    private static final long RESTING_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
+    /** A client waits 400 ms for its answer: after this long with a request incomplete, its connection matters least. */
+    private static final long SLOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final int maxConnections;
     /** The connections in each state, in the order in which they entered it. */
     private final Map<State, Set<Entry>> entries = new EnumMap<>(State.class);
+    /** The connections of each rank, in the order in which they entered it. */
+    private final Map<Rank, Set<Entry>> ranks = new EnumMap<>(Rank.class);
+    private int count;
     private boolean closing;
 
-    /** The state of a connection. Connections are evicted in the order of these constants. */
+    /** The state of a connection. */
     enum State {
         /** The last answer was sent; further data is not read. */
         CLOSING,
@@ -54,11 +63,35 @@
         RECEIVING
     }
 
+    /** What the eviction of a connection depends on. */
+    private enum Rank {
+        /** In state {@link State#CLOSING}. */
+        CLOSING,
+        /** Nothing was received yet. */
+        SILENT,
+        /** See {@link Connection#expendable}. */
+        EXPENDABLE,
+        /** Idle in state {@link State#IDLE_LOW_PRIORITY}. */
+        IDLE_LOW_PRIORITY,
+        /** A part of a request was received, after earlier ones that submitted messages. */
+        INCOMPLETE,
+        /** Idle in state {@link State#IDLE}. */
+        IDLE,
+        /** Polls, or has sent data that is not decoded yet and may contain a complete request. */
+        IN_USE
+    }
+
     /** A client connection that is notified of evictions and time-outs. */
     interface Connection {
         /** Whether data was received that is not decoded yet; it may contain a complete request. */
         boolean hasUnread();
 
+        /**
+         * Whether it has never submitted a message, and either its request is incomplete or it has sent many requests. What is
+         * not decoded of it yet is not worth another client's connection.
+         */
+        boolean expendable();
+
         /** Closes the connection at once, to make room for another one or because the process ends. */
         void evict();
 
@@ -70,6 +103,7 @@
     static final class Entry {
         private final Connection connection;
         private State state = State.NEW;
+        private Rank rank = Rank.SILENT;
         /** When the connection entered its state, by {@link System#nanoTime}. */
         private long since = System.nanoTime();
 
@@ -88,10 +122,13 @@
         for (State state : State.values()) {
             entries.put(state, new LinkedHashSet<>());
         }
+        for (Rank rank : Rank.values()) {
+            ranks.put(rank, new LinkedHashSet<>());
+        }
     }
 
     int size() {
-        return entries.values().stream().mapToInt(Set::size).sum();
+        return count;
     }
 
     int count(State state) {
@@ -101,6 +138,8 @@
     /** Adds a new connection, and evicts one if there are too many. */
     void add(Entry entry) {
         entries.get(entry.state).add(entry);
+        ranks.get(entry.rank).add(entry);
+        count++;
         if (size() > maxConnections) {
             evict(selectForEviction(entry));
         }
@@ -108,7 +147,10 @@
 
     /** Removes a connection that was closed. */
     void remove(Entry entry) {
-        entries.get(entry.state).remove(entry);
+        if (entries.get(entry.state).remove(entry)) {
+            ranks.get(entry.rank).remove(entry);
+            count--;
+        }
     }
 
     /** Stops closing idle connections from now on: each is closed with the answer to its next request. */
@@ -133,30 +175,56 @@
     }
 
     /**
-     * Selects the connection to evict: the one that has been longest in the first non-empty state, leaving out connections with
-     * data that is not decoded yet. Those in {@link State#NEW} for less than {@link #NEW_NANOS} are taken only after those in
-     * {@link State#IDLE_LOW_PRIORITY}, because their first request may arrive soon. While another sender is unavailable, many
-     * clients may only connect or only check health. With another order they would evict the clients that submit messages, which
-     * would reconnect and evict each other.
+     * Selects the connection to evict: the one that has been longest in the first non-empty rank. Those in {@link State#NEW} for
+     * less than {@link #NEW_NANOS} are taken only after those in {@link State#IDLE_LOW_PRIORITY}, because their first request may
+     * arrive soon. While another sender is unavailable, many clients may only connect or only check health. With another order
+     * they would evict the clients that submit messages, which would reconnect and evict each other. Where all others are in use
+     * the new connection is closed, which has not been read yet.
      */
     private Entry selectForEviction(Entry newest) {
         long now = System.nanoTime();
-        Entry recent = null;
-        for (Map.Entry<State, Set<Entry>> group : entries.entrySet()) {
-            if (recent != null && group.getKey().compareTo(State.IDLE_LOW_PRIORITY) > 0) {
-                return recent;
-            }
-            for (Entry e : group.getValue()) {
-                if (e == newest || e.connection.hasUnread()) {
-                    continue;
-                }
-                if (group.getKey() != State.NEW || now - e.since >= NEW_NANOS) {
-                    return e;
-                }
-                recent = recent == null ? e : recent;
-            }
+        return oldest(Rank.CLOSING, newest)
+                .or(() -> oldest(Rank.SILENT, newest).filter(entry -> now - entry.since >= NEW_NANOS))
+                .or(() -> oldest(Rank.EXPENDABLE, newest))
+                .or(() -> oldest(Rank.IDLE_LOW_PRIORITY, newest))
+                .or(() -> oldest(Rank.SILENT, newest))
+                .or(() -> oldest(Rank.INCOMPLETE, newest).filter(entry -> now - entry.since >= SLOW_NANOS))
+                .or(() -> oldest(Rank.IDLE, newest).filter(entry -> now - entry.since >= RESTING_NANOS))
+                .orElse(newest);
+    }
+
+    private Optional<Entry> oldest(Rank rank, Entry newest) {
+        Iterator<Entry> members = ranks.get(rank).iterator();
+        Entry first = members.hasNext() ? members.next() : null;
+        return Optional.ofNullable(first == newest && members.hasNext() ? members.next() : first).filter(entry -> entry != newest);
+    }
+
+    /** Updates what an entry's eviction depends on: its state, and what its connection has received. */
+    void update(Entry entry) {
+        Rank next = rank(entry);
+        if (next != entry.rank && ranks.get(entry.rank).remove(entry)) {
+            ranks.get(next).add(entry);
+            entry.rank = next;
+        }
+    }
+
+    private static Rank rank(Entry entry) {
+        if (entry.state == State.CLOSING) {
+            return Rank.CLOSING;
+        }
+        if (entry.connection.expendable()) {
+            return Rank.EXPENDABLE;
+        }
+        if (entry.connection.hasUnread()) {
+            return Rank.IN_USE;
         }
-        return recent == null ? newest : recent;
+        return switch (entry.state) {
+            case NEW -> Rank.SILENT;
+            case IDLE_LOW_PRIORITY -> Rank.IDLE_LOW_PRIORITY;
+            case IDLE -> Rank.IDLE;
+            case RECEIVING -> Rank.INCOMPLETE;
+            default -> Rank.IN_USE;
+        };
     }
 
     void setState(Entry entry, State next) {
@@ -165,6 +233,7 @@
         }
         entry.state = next;
         entry.since = System.nanoTime();
+        update(entry);
         Set<Entry> idle = entries.get(State.IDLE);
         if (next == State.IDLE && !closing && idle.size() > Math.max(1, IDLE_SHARE * maxConnections)) {
             for (Entry longest : idle) {
--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -92,6 +92,8 @@
     private static final int HIGH_WATER_BYTES = 8 * 1024;
     /** The heap that buffered answers take, as a multiple of their bytes. */
     private static final int HEAP_PER_ANSWER_BYTE = 2;
+    /** A connection with so many requests, none of which submitted a message, makes room first if there are too many. */
+    private static final int MAX_REQUESTS_WITHOUT_SUBMISSION = 8;
     /** When a client whose incomplete request was given up may try again: bad clients are closed by then. */
     private static final long GIVEN_UP_WAIT_MS = 500;
     /** Time between two logs of the closed connections and of the memory that clients hold. */
@@ -391,6 +393,9 @@
         private final MemoryBudget.Account account = memory.budget().open("http_clients", this);
         /** Whether the first byte of the next request has been received. */
         private boolean requestStarted;
+        /** Whether its last turn has completed no request. */
+        private boolean requestIncomplete;
+        private int requestsWithoutSubmission;
         /** Whether a valid submission was received on this connection. */
         private boolean hasSubmitted;
         /** The reads that are not decoded yet; they may contain a complete request. */
@@ -413,9 +418,19 @@
             return unread.awaitsTurn();
         }
 
+        @Override
+        public boolean expendable() {
+            return !hasSubmitted && (requestIncomplete || requestsWithoutSubmission >= MAX_REQUESTS_WITHOUT_SUBMISSION);
+        }
+
         @Override
         public void evict() {
-            close(closing ? CloseReason.LAST_REQUEST : CloseReason.EVICTED);
+            if (requestIncomplete) {
+                answerAndClose(HttpAnswers.refusal("too many connections", GIVEN_UP_WAIT_MS), CloseReason.EVICTED);
+                channel.close();
+            } else {
+                close(closing ? CloseReason.LAST_REQUEST : CloseReason.EVICTED);
+            }
         }
 
         private void close(CloseReason reason) {
@@ -453,13 +468,14 @@
         }
 
         /**
-         * Accounts for what this connection holds. Only an incomplete request can be given up: what was received after it or
+         * Accounts for what this connection holds, and for what its eviction depends on. Only an incomplete request can be given up: what was received after it or
          * waits for its turn may be complete, and is owed an answer.
          */
         private void updateAccounts() {
             long fixed = BYTES_PER_CONNECTION + unread.bytes() + HEAP_PER_ANSWER_BYTE * unsentAnswerBytes();
             long request = decoder.heapBytes() + aggregator.heapBytes();
             boolean incomplete = unread.isEmpty() && entry.state() != ClientConnections.State.CLOSING;
+            connections.update(entry);
             account.set(incomplete ? fixed : fixed + request, incomplete ? request : 0);
         }
 
@@ -504,6 +520,8 @@
             if (!rest) {
                 unread.processed();
             }
+            boolean partReceived = decoder.heapBytes() + aggregator.heapBytes() > 0;
+            requestIncomplete = rest ? decoder.requestsLeft() == REQUESTS_PER_TURN : partReceived;
             return PARTS_PER_TURN - decoder.partsLeft() + WORK_PER_REQUEST * (REQUESTS_PER_TURN - decoder.requestsLeft());
         }
 
@@ -579,6 +597,7 @@
                 return;
             }
             headers.messageEnded();
+            requestsWithoutSubmission++;
             requestStarted = decoder.hasMoreData();
             setState(requestStarted ? ClientConnections.State.RECEIVING
                     : hasSubmitted ? ClientConnections.State.IDLE : ClientConnections.State.IDLE_LOW_PRIORITY);
