A turn of the loop is limited by the work it does, and slow writers are read in pieces

What callers saw: beside 600 clients that send chunks of one octet a usual client had 21 answers, then none; beside hundreds that write an octet at a time it waited 32 ms for each (median, bad clients in a process of their own), and a sender with less than a core longer. Clients that send tiny chunks without end were left open for over 3 s.

Cause: a turn was limited to eight requests, however many parts of one it decoded (2,700 chunks in a read, some 3 us each), an iteration of the loop to 16 reads, however small: 600 single octets took 38 iterations, each of which read all sockets again. And a request's time limit did not hold while data was waiting to be decoded.

Fix: a turn decodes two requests or 16 parts at most. A connection with an incomplete request is read again after a pause that grows with their number (0.2 ms each, none below 25): what comes meanwhile is one read. The time limit holds once a turn has left the request incomplete.

HttpFrontendTest.oneReadOfManyTinyChunksHoldsUpNoOtherConnection fails before (the chunks come first). Ruled out: accepting (same rate before and after).

--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -79,9 +79,9 @@
     /** The work of a complete request, beside that of its parts. */
     private static final int WORK_PER_REQUEST = 28;
     /** The number of requests of one connection that are processed before the next connection's: one read may hold hundreds. */
-    static final int REQUESTS_PER_TURN = 8;
+    static final int REQUESTS_PER_TURN = 2;
     /** The number of heads and parts of bodies that are decoded in one turn: one read may hold thousands of chunks. */
-    static final int PARTS_PER_TURN = Integer.MAX_VALUE;
+    static final int PARTS_PER_TURN = 16;
     /** Limit on the bytes of one read: it also limits the work, and with all connections the memory, that reads can cause. */
     static final int MAX_READ_BYTES = 8 * 1024;
     /** The heap that a connection takes by itself, in bytes: its channel, handlers and decoders, as measured. */
@@ -92,6 +92,12 @@
     private static final int HIGH_WATER_BYTES = 8 * 1024;
     /** The heap that buffered answers take, as a multiple of their bytes. */
     private static final int HEAP_PER_ANSWER_BYTE = 2;
+    /**
+     * The time for which a connection whose request is incomplete is not read again, for each such connection. So hundreds of
+     * clients that send single octets cause 5,000 reads a second at most, and a few cause no delay that anybody notices.
+     */
+    private static final long PACE_MICROS_PER_INCOMPLETE = 200;
+    private static final long MIN_PACE_MICROS = 5_000;
     /** A connection with so many requests, none of which submitted a message, makes room first if there are too many. */
     private static final int MAX_REQUESTS_WITHOUT_SUBMISSION = 8;
     /** When a client whose incomplete request was given up may try again: bad clients are closed by then. */
@@ -122,6 +128,8 @@
     /** Whether established connections may still wait to be accepted. */
     private boolean accepting;
     private boolean closing;
+    /** The number of connections whose request is incomplete after a turn. */
+    private int incompleteRequests;
     /** Whether {@link #processReads} will run. */
     private boolean processingScheduled;
 
@@ -395,6 +403,8 @@
         private boolean requestStarted;
         /** Whether its last turn has completed no request. */
         private boolean requestIncomplete;
+        /** Whether it is not read for a moment because many requests are incomplete. */
+        private boolean paced;
         private int requestsWithoutSubmission;
         /** Whether a valid submission was received on this connection. */
         private boolean hasSubmitted;
@@ -443,6 +453,7 @@
             connections.remove(entry);
             unread.clear();
             account.close();
+            setRequestIncomplete(false);
             if (poll != null) {
                 poll.cancel();
                 poll = null;
@@ -501,7 +512,7 @@
                 return;
             }
             unread.suspend(!mayProcess());
-            channel.config().setAutoRead(mayProcess() && unread.mayRead());
+            channel.config().setAutoRead(mayProcess() && unread.mayRead() && !paced);
         }
 
         @Override
@@ -509,6 +520,25 @@
             return channel.isWritable() && entry.state() != ClientConnections.State.POLLING;
         }
 
+        private void setRequestIncomplete(boolean incomplete) {
+            if (incomplete != requestIncomplete) {
+                requestIncomplete = incomplete;
+                incompleteRequests += incomplete ? 1 : -1;
+            }
+        }
+
+        /** Reads on after a pause if there are many incomplete requests: what comes meanwhile is then one read. */
+        private void pace() {
+            long micros = incompleteRequests * PACE_MICROS_PER_INCOMPLETE;
+            if (micros >= MIN_PACE_MICROS && !paced) {
+                paced = true;
+                loop.schedule(() -> {
+                    paced = false;
+                    updateReading();
+                }, micros, TimeUnit.MICROSECONDS);
+            }
+        }
+
         /**
          * Processes the oldest read, or some requests of it.
          *
@@ -521,13 +551,16 @@
                 unread.processed();
             }
             boolean partReceived = decoder.heapBytes() + aggregator.heapBytes() > 0;
-            requestIncomplete = rest ? decoder.requestsLeft() == REQUESTS_PER_TURN : partReceived;
+            setRequestIncomplete(rest ? decoder.requestsLeft() == REQUESTS_PER_TURN : partReceived);
+            if (requestIncomplete && !rest) {
+                pace();
+            }
             return PARTS_PER_TURN - decoder.partsLeft() + WORK_PER_REQUEST * (REQUESTS_PER_TURN - decoder.requestsLeft());
         }
 
         @Override
         public void timedOut() {
-            if (hasUnread()) {
+            if (hasUnread() && !requestIncomplete) {
                 // The sender is late, not the client: the request may have been received completely.
                 return;
             }
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -248,6 +248,39 @@
         assertTrue(processedBefore.get() <= HttpFrontend.REQUESTS_PER_TURN, processedBefore.toString());
     }
 
+    /** Guards against a read of hundreds of tiny chunks that is processed in one piece: usual clients had no answer in time. */
+    @Test
+    void oneReadOfManyTinyChunksHoldsUpNoOtherConnection() throws Exception {
+        EventLoop loop = group.next();
+        List<String> processed = new CopyOnWriteArrayList<>();
+        HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
+                new EmptyIntake() {
+                    @Override
+                    public boolean knowsClass(String name) {
+                        processed.add(name);
+                        return false;
+                    }
+                });
+        InetSocketAddress address = frontend.listen();
+        List<BufferedInputStream> answers = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            sockets.add(new Socket(address.getAddress(), address.getPort()));
+            Stub.write(sockets.get(i), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+            answers.add(new BufferedInputStream(sockets.get(i).getInputStream()));
+            assertEquals("HTTP/1.1 200 OK", Stub.read(answers.get(i), 0).line());
+        }
+        CountDownLatch written = new CountDownLatch(1);
+        blockLoop(loop, written);
+        Stub.write(sockets.get(0), "POST /chunks HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(300)
+                + "0\r\n\r\n");
+        Stub.write(sockets.get(1), "GET /usual HTTP/1.1\r\nHost: x\r\n\r\n");
+        written.countDown();
+        for (BufferedInputStream answer : answers) {
+            assertEquals("HTTP/1.1 404 Not Found", Stub.read(answer, 0).line());
+        }
+        assertEquals(List.of("usual", "chunks"), processed);
+    }
+
     /** Guards against heads and trailers of thousands of short fields: 300 of 8 KB each ended the process. */
     @Test
     void aRequestOfThousandsOfTinyFieldsIsRefusedAtOnce() throws Exception {
