--- a/src/main/java/slipfield/config/Config.java
+++ b/src/main/java/slipfield/config/Config.java
@@ -24,6 +24,7 @@
  *
  * @param state the folder for the journal and other files
  * @param sockets how many sockets the sender may have open
+ * @param memory the limit on the memory of the process, if any
  * @param kinds the names of the endpoints' kinds, setting {@code flavors}
  * @param maxOpen how many messages may be pending
  * @param knownEndpoints the endpoint list that the configuration file contains, if any
@@ -32,7 +33,7 @@
  * @param amqp the operator's AMQP file, if any
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, Path state, long seed,
-              int sockets, long diskBytes, DeliveryPolicy.Settings settings, List<String> classes,
+              int sockets, Optional<MemoryLimit> memory, long diskBytes, DeliveryPolicy.Settings settings, List<String> classes,
               List<String> tenants, List<String> kinds, List<String> zones, int maxOpen, double connectTimeoutMs,
               Optional<JsonNode> knownEndpoints, Optional<Path> members, Optional<Path> clients,
               Optional<Path> amqp) {
@@ -70,6 +71,7 @@
                 Path.of(required(env, "GW_STATE")),
                 seed(json.path("seed").asText("0")),
                 limits.path("sockets").asInt(1024),
+                Optional.of(limits.path("memory_mb").asLong(0)).filter(mb -> mb > 0).map(MemoryLimit::new),
                 (long) (diskMb * 1_000_000),
                 settings.settings(),
                 names(settings, "classes"),
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -15,6 +15,7 @@
 import slipfield.amqp.server.ConnectionReport;
 import slipfield.config.BadInput;
 import slipfield.config.Config;
+import slipfield.config.MemoryLimit;
 import slipfield.core.AnswerChannel;
 import slipfield.core.Directory;
 import slipfield.core.Frontend;
@@ -58,6 +59,8 @@
     private InetSocketAddress agentAddress;
     private HttpTransport endpoints;
     private PlatformNotices notices;
+    private static final long MB = 1 << 20;
+
     /** Limits what peers make the sender hold, over all protocols together. */
     private final MemoryGuard memory = MemoryGuard.ofHeap();
     private Discovery discovery;
@@ -106,8 +109,21 @@
         }
     }
 
+    /** Logs the limits on memory, and whether the heap is too large for them. */
+    private void logMemoryLimits() {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        Log.info("memory.limits", "memory_mb", config.memory().map(limit -> Long.toString(limit.megabytes())).orElse("none"),
+                "heap_mb", heapBytes / MB, "peers_mb", memory.budget().limitBytes() / MB);
+        if (config.memory().isPresent() && !config.memory().get().allowsHeap(heapBytes)) {
+            Log.warn("memory.limit_too_small", "memory_mb", config.memory().get().megabytes(), "heap_mb", heapBytes / MB,
+                    "needed_mb", heapBytes / MB + MemoryLimit.OTHER_MB,
+                    "set", "-Xmx" + config.memory().get().heapMb() + "m, or a higher limits.memory_mb");
+        }
+    }
+
     /** Starts the sender and returns the address that its HTTP clients connect to. */
     public InetSocketAddress start() throws IOException, BadInput {
+        logMemoryLimits();
         if (config.members().isPresent()) {
             members = MergedDirectory.read(config.members().get(), config.state());
         }
