AMQP frames wait decoded by the memory that they take, in the budget of all peers

Cause: a decoded table takes some 25 times its octets, and unhandled frames were limited by number (16,384) only. One read of each connection, in one iteration of the loop, was decoded before any was handled. And the buffer of an incomplete frame was rounded up to a power of two.

Fix: an unhandled frame counts by its memory (Frame.memoryOctets); no connection is read while all take a quarter of the budget. Each connection has an account in the same MemoryBudget as HTTP clients: itself, its channels and consumers, unhandled frames, its incomplete frame, which is what can be reclaimed (the connection is cut, amqp.connection_cut). No channel is opened while the budget is exceeded. The buffer of an incomplete frame has no more room than a largest frame.

Evidence: AmqpFloodTest.tablesOfTinyFieldsOnAllConnectionsAtOnceTakeNoMemoryFromOthers fails before (connection reset, the process had ended).

--- a/src/main/java/slipfield/amqp/codec/FrameDecoder.java
+++ b/src/main/java/slipfield/amqp/codec/FrameDecoder.java
@@ -1,6 +1,7 @@
 package slipfield.amqp.codec;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.util.List;
@@ -29,6 +30,30 @@
     /** {@code server}: the input starts with the eight octets of the protocol header. */
     public FrameDecoder(boolean server) {
         awaitsProtocolHeader = server;
+        setCumulator(this::append);
+    }
+
+    /**
+     * Appends a read to what was received before. Unlike Netty's cumulator, which rounds up to a power of two, the buffer of an
+     * incomplete frame has no more room than a largest frame needs.
+     */
+    private ByteBuf append(ByteBufAllocator allocator, ByteBuf received, ByteBuf read) {
+        if (!received.isReadable()) {
+            received.release();
+            return read;
+        }
+        try {
+            int octets = received.readableBytes() + read.readableBytes();
+            if (read.readableBytes() <= received.writableBytes() && received.refCnt() == 1 && !received.isReadOnly()) {
+                return received.writeBytes(read);
+            }
+            int room = Math.max(octets, Math.min(2 * octets, frameMax));
+            ByteBuf larger = allocator.heapBuffer(room).writeBytes(received).writeBytes(read);
+            received.release();
+            return larger;
+        } finally {
+            read.release();
+        }
     }
 
     /** Sets the maximum size of a frame in octets, including its header and end. */
@@ -36,6 +61,11 @@
         frameMax = octets;
     }
 
+    /** How much memory the incomplete frame takes that was received last, in octets. */
+    public long memoryOctets() {
+        return actualReadableBytes() > 0 ? internalBuffer().capacity() : 0;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (failed) {
--- a/src/main/java/slipfield/amqp/codec/Method.java
+++ b/src/main/java/slipfield/amqp/codec/Method.java
@@ -35,6 +35,11 @@
         return id;
     }
 
+    /** About how much memory the arguments take, in octets. */
+    long octets() {
+        return ValueCodec.memoryOctets(Arrays.asList(values));
+    }
+
     /** The value of a bit. */
     public boolean flag(String field) {
         return (Boolean) values[id.field(field)];
--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -36,6 +36,7 @@
 import slipfield.config.Config;
 import slipfield.log.Log;
 import slipfield.log.LoggedTask;
+import slipfield.memory.MemoryGuard;
 import slipfield.retry.Retry;
 import slipfield.socket.AcceptLoop;
 import slipfield.socket.AutoReadGate;
@@ -57,6 +58,8 @@
     /** The number of frames that are not handled yet from which on no connection is read; below half of it, all are again. */
     private static final int MAX_UNHANDLED_FRAMES = 16 * 1024;
     private static final int HEAP_PER_INCOMPLETE_FRAMES = 4;
+    /** The share of the memory budget for unhandled frames, as a divisor; one read more may come. */
+    private static final int BUDGET_PER_UNHANDLED_FRAMES = 4;
     private static final int LOW_WATER = 32 * 1024;
     private static final int HIGH_WATER = 256 * 1024;
 
@@ -64,6 +67,7 @@
     private final AmqpConfig config;
     private final String epoch;
     private final Backpressure backpressure;
+    private final MemoryGuard memory;
     private final Tuning tuning;
     private final Authenticator authenticator;
     private final Map<Integer, ServerConnection> connections = new LinkedHashMap<>();
@@ -78,14 +82,20 @@
     private int lastConnection;
     private boolean handlingFrames;
     private int unhandledFrames;
-    /** Whether no connection is read because there are too many unhandled frames. */
+    private long unhandledOctets;
+    /** Whether no connection is read because unhandled frames are too many, or take too much memory. */
     private boolean readingPaused;
     private boolean closing;
     private double closingSinceMs;
 
-    /** {@code epoch}: differs for every process, so that names of channels are never reused after a restart. */
-    public AmqpServer(EventLoop loop, AmqpConfig config, String epoch) {
-        this(loop, config, epoch, Executors.newSingleThreadExecutor(task -> {
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param epoch differs for every process, so that names of channels are never reused after a restart
+     * @param memory limits what clients make the sender hold
+     */
+    public AmqpServer(EventLoop loop, AmqpConfig config, String epoch, MemoryGuard memory) {
+        this(loop, config, epoch, memory, Executors.newSingleThreadExecutor(task -> {
             Thread thread = new Thread(task, "amqp-logins");
             thread.setDaemon(true);
             return thread;
@@ -93,8 +103,9 @@
     }
 
     /** {@code secretChecks}: runs the expensive checks of secrets. */
-    AmqpServer(EventLoop loop, AmqpConfig config, String epoch, Executor secretChecks) {
+    AmqpServer(EventLoop loop, AmqpConfig config, String epoch, MemoryGuard memory, Executor secretChecks) {
         this.loop = loop;
+        this.memory = memory;
         this.authenticator = new Authenticator(loop, config.users(), secretChecks);
         this.config = config;
         this.epoch = epoch;
@@ -214,10 +225,13 @@
         }
     }
 
-    /** Counts frames that were received and are not handled yet; negative: that were handled. */
-    void countUnhandledFrames(int more) {
+    /** Counts frames that were received and are not handled yet, and their memory; negative: that were handled. */
+    void countUnhandledFrames(int more, long moreOctets) {
         unhandledFrames += more;
-        boolean pause = unhandledFrames >= (readingPaused ? MAX_UNHANDLED_FRAMES / 2 : MAX_UNHANDLED_FRAMES);
+        unhandledOctets += moreOctets;
+        int divisor = readingPaused ? 2 : 1;
+        boolean pause = unhandledFrames >= MAX_UNHANDLED_FRAMES / divisor
+                || unhandledOctets >= memory.budget().limitBytes() / BUDGET_PER_UNHANDLED_FRAMES / divisor;
         if (pause != readingPaused) {
             readingPaused = pause;
             List.copyOf(connections.values()).forEach(ServerConnection::updateReading);
@@ -277,6 +291,11 @@
         }
     }
 
+    /** The budget of memory for what clients send, and its enforcement. */
+    MemoryGuard memory() {
+        return memory;
+    }
+
     /** The parameters that are offered to clients. */
     Tuning tuning() {
         return tuning;
--- a/src/main/java/slipfield/amqp/server/ServerConnection.java
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -29,9 +29,14 @@
 import slipfield.config.Config;
 import slipfield.log.FatalErrors;
 import slipfield.log.Log;
+import slipfield.memory.MemoryBudget;
 
 /** A client connection: handshake, channels and close. Specification 0-9-1, 2.2.4 and class connection. */
-final class ServerConnection extends ChannelInboundHandlerAdapter {
+final class ServerConnection extends ChannelInboundHandlerAdapter implements MemoryBudget.Holder {
+    /** The heap that a connection takes by itself, in octets, and each of its channels and consumers, as measured. */
+    private static final long OCTETS_PER_CONNECTION = 8 * 1024;
+    private static final long OCTETS_PER_CHANNEL = 1024;
+    private static final long OCTETS_PER_CONSUMER = 1024;
     /** Limit from connecting until the connection is open. A login that waits for its check may take most of that time. */
     private static final double OPEN_MS = 20_000;
     /** Time from {@code connection.close} until the socket is closed if the peer does not answer. */
@@ -48,6 +53,8 @@
     private final FrameDecoder decoder;
     private final FrameEncoder encoder;
     private final Deque<Object> inbox = new ArrayDeque<>();
+    private final MemoryBudget.Account account;
+    private long inboxOctets;
     private final Map<Integer, ServerChannel> channels = new TreeMap<>();
     private final double connectedMs;
     private State state = State.PROTOCOL;
@@ -71,6 +78,7 @@
         this.channel = channel;
         this.decoder = decoder;
         this.encoder = encoder;
+        this.account = server.memory().budget().open("amqp_clients", this);
         this.connectedMs = server.nowMs();
         this.lastUnsettledMs = connectedMs;
     }
@@ -118,13 +126,41 @@
             return;
         }
         inbox.addLast(frame);
-        server.countUnhandledFrames(1);
+        countFrame(frame, 1);
         if (inbox.size() == 1) {
             updateReading();
             server.pending(this);
         }
     }
 
+    private void countFrame(Object frame, int sign) {
+        long octets = sign * (frame instanceof Frame f ? f.memoryOctets() : Frame.OBJECT_OCTETS);
+        inboxOctets += octets;
+        server.countUnhandledFrames(sign, octets);
+    }
+
+    /** A read was decoded: accounts for what this connection holds. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        updateAccount();
+        server.memory().enforce();
+        context.fireChannelReadComplete();
+    }
+
+    private void updateAccount() {
+        long consumers = channels.values().stream().mapToLong(c -> c.deliveries().consumers().size()).sum();
+        long fixed = OCTETS_PER_CONNECTION + channels.size() * OCTETS_PER_CHANNEL + consumers * OCTETS_PER_CONSUMER + inboxOctets;
+        account.set(fixed, state == State.CLOSING ? 0 : decoder.memoryOctets());
+    }
+
+    /** Closes the connection to release its incomplete frame. */
+    @Override
+    public void reclaim() {
+        Log.warn("amqp.connection_cut", "peer", peer(), "cause", "its incomplete frame takes memory that all clients together "
+                + "do not have");
+        channel.close();
+    }
+
     private static Object body(Object frame) {
         return frame instanceof Frame.OfBody b ? b.octets() : frame;
     }
@@ -133,7 +169,7 @@
     boolean handleNextFrame() {
         Object frame = inbox.pollFirst();
         if (frame != null) {
-            server.countUnhandledFrames(-1);
+            countFrame(frame, -1);
             try {
                 if (frame instanceof AmqpError error) {
                     throw error;
@@ -149,6 +185,7 @@
         }
         if (inbox.isEmpty()) {
             updateReading();
+            updateAccount();
         }
         return !inbox.isEmpty();
     }
@@ -193,6 +230,9 @@
             if (target != null) {
                 throw new AmqpError(ReplyCode.CHANNEL_ERROR, "channel " + frame.channel() + " is open already", id);
             }
+            if (server.memory().budget().usedBytes() > server.memory().budget().limitBytes()) {
+                throw new AmqpError(ReplyCode.RESOURCE_ERROR, "no memory for another channel; try again later", id);
+            }
             channels.put(frame.channel(), new ServerChannel(this, frame.channel()));
             send(frame.channel(), MethodId.CHANNEL_OPEN_OK, "");
         } else if (target == null) {
@@ -418,8 +458,9 @@
         inbox.forEach(frame -> ReferenceCountUtil.release(body(frame)));
         int unhandled = inbox.size();
         inbox.clear();
+        account.close();
         server.connectionClosed(this);
-        server.countUnhandledFrames(-unhandled);
+        server.countUnhandledFrames(-unhandled, -inboxOctets);
         server.resumePaused();
     }
 
--- a/src/main/java/slipfield/daemon/AmqpComponents.java
+++ b/src/main/java/slipfield/daemon/AmqpComponents.java
@@ -20,6 +20,7 @@
 import slipfield.core.Transport;
 import slipfield.front.amqp.PublisherFrontend;
 import slipfield.journal.PendingAnswer;
+import slipfield.memory.MemoryGuard;
 import slipfield.state.BackgroundJsonFile;
 import slipfield.work.Worker;
 import slipfield.transport.amqp.ConsumerTransport;
@@ -37,6 +38,7 @@
     private static final long VIEW_MS_EACH = 10;
 
     private final AmqpConfig config;
+    private final MemoryGuard memory;
     private AmqpServer server;
     private ConsumerTransport queues;
     private PublisherFrontend publishers;
@@ -44,14 +46,15 @@
     private EventLoop loop;
     private String epoch;
 
-    private AmqpComponents(AmqpConfig config, Path state) {
+    private AmqpComponents(AmqpConfig config, Path state, MemoryGuard memory) {
         this.config = config;
+        this.memory = memory;
         this.view = new BackgroundJsonFile(state.resolve(VIEW), "amqp.view_unwritable");
     }
 
-    static AmqpComponents read(Path file, Config sender) throws IOException, BadInput {
+    static AmqpComponents read(Path file, Config sender, MemoryGuard memory) throws IOException, BadInput {
         return new AmqpComponents(AmqpConfig.read(file, new AmqpConfig.KnownNames(sender.classes(), sender.tenants(),
-                sender.kinds(), sender.zones())), sender.state());
+                sender.kinds(), sender.zones())), sender.state(), memory);
     }
 
     /** The content of the status file. */
@@ -65,7 +68,7 @@
     Transport transport(Transport network, EventLoop loop, Worker worker, Transport.AttemptListener listener) {
         view.setWorker(worker);
         epoch = Long.toHexString(System.currentTimeMillis());
-        server = new AmqpServer(loop, config, epoch);
+        server = new AmqpServer(loop, config, epoch, memory);
         this.loop = loop;
         queues = new ConsumerTransport(loop, config.limits().awayMs(), listener);
         return new RoutingTransport(network, queues);
--- a/src/main/java/slipfield/daemon/Daemon.java
+++ b/src/main/java/slipfield/daemon/Daemon.java
@@ -131,7 +131,7 @@
             clients = ClientsConfig.read(config.clients().get());
         }
         if (config.amqp().isPresent()) {
-            amqp = AmqpComponents.read(config.amqp().get(), config);
+            amqp = AmqpComponents.read(config.amqp().get(), config, memory);
         }
         addresses = sender.start();
         InetSocketAddress address = addresses.get(0);
--- a/src/test/java/slipfield/amqp/server/ServerFuzzTest.java
+++ b/src/test/java/slipfield/amqp/server/ServerFuzzTest.java
@@ -30,6 +30,7 @@
 import slipfield.amqp.codec.MethodId;
 import slipfield.amqp.codec.Properties;
 import slipfield.amqp.codec.ReplyCode;
+import slipfield.memory.MemoryGuard;
 
 /**
  * Sends valid frames in a wrong order, and corrupted frames, to in-memory connections. No exception may escape, every buffer
@@ -174,7 +175,7 @@
                 method(1, MethodId.BASIC_CONSUME, 0, "q", "c1", false, false, false, false, Map.of()));
         FakeCore core = new FakeCore();
         long sent = 0;
-        AmqpServer server = new AmqpServer(loop.eventLoop(), config, "e", Runnable::run);
+        AmqpServer server = new AmqpServer(loop.eventLoop(), config, "e", MemoryGuard.ofHeap(), Runnable::run);
         server.setHandlers(core, core);
         while (sent < frames) {
             EmbeddedChannel channel = new EmbeddedChannel();
--- a/src/test/java/slipfield/amqp/server/UnhandledFramesTest.java
+++ b/src/test/java/slipfield/amqp/server/UnhandledFramesTest.java
@@ -19,6 +19,7 @@
 import slipfield.amqp.Publication;
 import slipfield.amqp.Publisher;
 import slipfield.amqp.Secret;
+import slipfield.memory.MemoryGuard;
 
 /** Frames that peers send faster than the event loop handles them. */
 class UnhandledFramesTest {
@@ -47,7 +48,7 @@
                 exchanges: [{name: orders, routes: [{key: "#", class: c, destination: 1}]}]
                 """.formatted(Secret.of("p")));
         AmqpConfig config = AmqpConfig.read(file, new AmqpConfig.KnownNames(List.of("c"), List.of(), List.of(), List.of()));
-        server = new AmqpServer(loop.eventLoop(), config, "e", Runnable::run);
+        server = new AmqpServer(loop.eventLoop(), config, "e", MemoryGuard.ofHeap(), Runnable::run);
         server.setHandlers(new NoPublications(), null);
     }
 
--- a/src/test/java/slipfield/daemon/AmqpFloodTest.java
+++ b/src/test/java/slipfield/daemon/AmqpFloodTest.java
@@ -15,6 +15,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,6 +43,8 @@
     private static final int PUBLISHERS = 4;
     private static final int PUBLICATIONS_EACH = 400;
     private static final int HEADER_BYTES = 35_000;
+    private static final int TINY_FIELDS = 700;
+    private static final int TABLES_EACH = 8;
 
     @TempDir
     private Path folder;
@@ -131,6 +134,42 @@
         }
     }
 
+    /** Guards against tables of tiny fields, which take 25 times their octets: one read of each connection ended the process. */
+    @Test
+    void tablesOfTinyFieldsOnAllConnectionsAtOnceTakeNoMemoryFromOthers() throws Exception {
+        Map<String, Object> table = new HashMap<>();
+        for (int i = 0; i < TINY_FIELDS; i++) {
+            table.put(Integer.toString(i, Character.MAX_RADIX), true);
+        }
+        List<RawPeer> peers = new ArrayList<>();
+        for (int i = 0; i < CONNECTIONS; i++) {
+            RawPeer peer = new RawPeer(amqp);
+            peers.add(peer);
+            peer.login("desk", AmqpFixture.PASSWORD);
+            peer.await(MethodId.CONNECTION_TUNE);
+            peer.send(0, MethodId.CONNECTION_TUNE_OK, 0, 4096L, 0);
+            peer.send(0, MethodId.CONNECTION_OPEN, "/", "", false);
+            peer.await(MethodId.CONNECTION_OPEN_OK);
+            peer.send(1, MethodId.CHANNEL_OPEN, "");
+            peer.await(MethodId.CHANNEL_OPEN_OK);
+        }
+        // What they send meanwhile is read in one iteration of the event loop.
+        sender.stop();
+        for (RawPeer peer : peers) {
+            for (int i = 0; i < TABLES_EACH; i++) {
+                peer.send(1, MethodId.EXCHANGE_DECLARE, 0, AmqpFixture.EXCHANGE, "topic", true, false, false, false, false, table);
+            }
+        }
+        sender.go();
+        for (RawPeer peer : peers) {
+            for (int i = 0; i < TABLES_EACH; i++) {
+                peer.await(MethodId.EXCHANGE_DECLARE_OK);
+            }
+            peer.close();
+        }
+        assertTrue(sender.isAlive(), this::log);
+    }
+
     private static boolean isClosed(RawPeer peer) throws IOException {
         peer.socket.setSoTimeout(1);
         try {
