An id that comes back at another destination is another endpoint

A process that registers under the id of one that has gone, for another destination, got the orders of the old destination, and none of its own.

Cause: the sender numbered endpoints by id alone, and the policy keeps the destination with which it first saw a number (WaveDeliveryPolicy.endpointsChanged).

Fix: EndpointNumbers, pure, out of Sender: a number stands for an id at one destination. If a list names an id with another one, the old number is reported as gone, its idle connections are closed, and the id gets a new number (endpoint.replaced in the log).

Evidence: SenderPortsTest.anEndpointThatIsReplacedAtAnotherDestinationGetsNoOrdersOfTheOldOne fails before.

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -50,8 +51,6 @@
     /** How long after the end of the drain time a sender may still answer requests that it has read. */
     private static final long LAST_ANSWERS_MS = 200;
     private static final long KILL_QUIET_MS = 100;
-    /** An endpoint that has left the endpoint list is forgotten after this time; no call takes so long. */
-    private static final long FORGET_ENDPOINT_MS = 60_000;
     /** A message that ends this long after its deadline is traced: half of the delay that the rules allow. */
     private static final double LATE_ANSWER_MS = 150;
     /**
@@ -78,11 +77,7 @@
     private final long startNanos = System.nanoTime();
     private final ProcessClock clock;
     private final CountDownLatch overdueAnswersSent = new CountDownLatch(1);
-    private final Map<String, Long> endpointNumbers = new HashMap<>();
-    private final Map<Long, String> endpointIds = new HashMap<>();
-    private long nextEndpoint;
-    /** The endpoints that are not in the endpoint list, and since when. */
-    private final Map<String, Long> removedSince = new HashMap<>();
+    private final EndpointNumbers endpoints = new EndpointNumbers();
     /** Pending messages without a final answer, by the policy's number and by the client's id. */
     private final Map<Long, PendingMessage> pendingByNumber = new HashMap<>();
     private final Map<String, PendingMessage> pendingById = new HashMap<>();
@@ -392,7 +387,7 @@
 
     private void startCall(DecidedCall d) {
         if (FLOW_ENABLED) {
-            Flow.step("out", d.message.id, d.attempt, d.message.destination, endpointIds.get(d.endpoint));
+            Flow.step("out", d.message.id, d.attempt, d.message.destination, endpoints.id(d.endpoint));
         }
         long decidedNanos = startNanos + (long) (d.atMs * 1e6);
         runningAttempts.put(attemptKey(d.message.number, d.attempt),
@@ -422,7 +417,7 @@
     public void send(long message, long endpoint, DeliveryPolicy.AttemptTiming timing) {
         PendingMessage pending = pendingByNumber.get(message);
         int number = pending.attempts.size();
-        PendingMessage.Attempt attempt = new PendingMessage.Attempt(endpointIds.get(endpoint), clock.wallMs());
+        PendingMessage.Attempt attempt = new PendingMessage.Attempt(endpoints.id(endpoint), clock.wallMs());
         try {
             journal.recordAttempt(pending, attempt);
         } catch (IOException e) {
@@ -485,20 +480,20 @@
 
     @Override
     public void endpointChanged(DeliveryPolicy.EndpointChange change) {
-        OutageLog.endpointChanged(change, endpointIds.get(change.endpoint()), iterationMs);
+        OutageLog.endpointChanged(change, endpoints.id(change.endpoint()), iterationMs);
     }
 
     @Override
     public void suspicionChanged(DeliveryPolicy.Suspicion suspicion) {
         PendingMessage message = pendingByNumber.get(suspicion.message());
-        OutageLog.suspicionChanged(suspicion, endpointIds.getOrDefault(suspicion.endpoint(), ""),
+        OutageLog.suspicionChanged(suspicion, Objects.requireNonNullElse(endpoints.id(suspicion.endpoint()), ""),
                 message == null ? "" : message.id, iterationMs);
     }
 
     @Override
     public void saveHealth(long endpoint, DeliveryPolicy.Health health) {
         long ago = (long) (iterationMs - health.since());
-        remember(endpointIds.get(endpoint), new Journal.Health(health.state(), clock.wallMs() - ago,
+        remember(endpoints.id(endpoint), new Journal.Health(health.state(), clock.wallMs() - ago,
                 health.carriedPerMs()));
     }
 
@@ -506,7 +501,7 @@
     public void saveSendRate(long destination, long route, DeliveryPolicy.SendRate pace) {
         try {
             journal.recordSendRate(new Journal.SendRateKey(destination,
-                    route == DeliveryPolicy.ALL_ROUTES ? "" : endpointIds.get(route)), pace);
+                    route == DeliveryPolicy.ALL_ROUTES ? "" : endpoints.id(route)), pace);
         } catch (IOException e) {
             writeFailed("journal.pace_unwritten", "", e);
         }
@@ -654,63 +649,60 @@
         EndpointCatalogue.Change change = catalogue.update(directory, complete, reported);
         List<DeliveryPolicy.Endpoint> list = new ArrayList<>();
         for (Directory.Entry e : change.entries()) {
+            endpoints.list(e.id(), e.destination(), System.nanoTime()).ifPresent(replaced -> {
+                Log.warn("endpoint.replaced", "endpoint", e.id(), "destination", e.destination(), "before", replaced.destination());
+                transport.stop(replaced.number());
+                list.add(policyEndpoint(replaced.number(), replaced.destination(), e, false, true));
+            });
             long number = endpointNumber(e.id());
             if (FLOW_ENABLED) {
                 Flow.step("listed", e.id(), e.destination(), e.serving(), e.weight(), e.kind());
             }
             knownDestinations.add(e.destination());
             transport.updateEndpoint(number, e.address(), e.serving());
-            list.add(new DeliveryPolicy.Endpoint(number, e.destination(), Math.max(0, config.kinds().indexOf(e.kind())),
-                    Math.max(0, config.zones().indexOf(e.zone())), e.serving(), e.weight(), e.gone()));
+            list.add(policyEndpoint(number, e.destination(), e, e.serving(), e.gone()));
         }
         forgetRemoved(change.complete(), change.entries());
         guarded(() -> policy.endpointsChanged(beginIteration(), change.complete(), list));
         recovery.listAvailable(fresh);
     }
 
-    /**
-     * Forgets endpoints that left the endpoint list long ago. The policy forgets them earlier, so it never names an endpoint that
-     * is unknown here.
-     */
+    private DeliveryPolicy.Endpoint policyEndpoint(long number, long destination, Directory.Entry entry, boolean serving,
+            boolean gone) {
+        return new DeliveryPolicy.Endpoint(number, destination, Math.max(0, config.kinds().indexOf(entry.kind())),
+                Math.max(0, config.zones().indexOf(entry.zone())), serving, entry.weight(), gone);
+    }
+
+    /** Forgets endpoints that left the endpoint list long ago. */
     private void forgetRemoved(boolean complete, List<Directory.Entry> entries) {
         long now = System.nanoTime();
         if (complete) {
             Set<String> named = new HashSet<>();
             entries.forEach(e -> named.add(e.id()));
-            endpointNumbers.forEach((id, number) -> {
-                removedSince.putIfAbsent(id, now);
+            for (String id : endpoints.ids()) {
+                endpoints.removed(id, now);
                 if (!named.contains(id)) {
-                    transport.stop(number);
+                    transport.stop(endpointNumber(id));
                 }
-            });
+            }
         }
         for (Directory.Entry e : entries) {
             if (e.gone()) {
-                removedSince.putIfAbsent(e.id(), now);
+                endpoints.removed(e.id(), now);
             } else {
-                removedSince.remove(e.id());
+                endpoints.present(e.id());
             }
         }
-        removedSince.entrySet().removeIf(removed -> {
-            boolean old = now - removed.getValue() > TimeUnit.MILLISECONDS.toNanos(FORGET_ENDPOINT_MS);
-            if (old) {
-                long number = endpointNumbers.remove(removed.getKey());
-                endpointIds.remove(number);
-                transport.forget(number);
-                remember(removed.getKey(), new Journal.Health(DeliveryPolicy.State.UP, 0, 0));
+        for (EndpointNumbers.Forgotten forgotten : endpoints.forgetOld(now)) {
+            transport.forget(forgotten.number());
+            if (!forgotten.idInUse()) {
+                remember(forgotten.id(), new Journal.Health(DeliveryPolicy.State.UP, 0, 0));
             }
-            return old;
-        });
+        }
     }
 
     private long endpointNumber(String id) {
-        return endpointNumbers.computeIfAbsent(id, unknown -> {
-            long number = nextEndpoint++;
-            endpointIds.put(number, id);
-            // Counts as gone until an endpoint list names it: an id from the journal may not be in use any more.
-            removedSince.put(id, System.nanoTime());
-            return number;
-        });
+        return endpoints.number(id, System.nanoTime());
     }
 
     private final class Intake implements MessageIntake {
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -404,4 +404,24 @@
         end(DeliveryPolicy.AttemptOutcome.DELIVERED);
         awaitAnswers("one queuedesk-1 DELIVERED");
     }
+
+    /** Guards against a process that takes over the name of one that has gone: it got the orders of the other's destination. */
+    @Test
+    void anEndpointThatIsReplacedAtAnotherDestinationGetsNoOrdersOfTheOldOne() throws Exception {
+        assertEquals("accepted", submit("one", "order", KEPT));
+        end(DeliveryPolicy.AttemptOutcome.DELIVERED);
+        onLoop(() -> {
+            world.directories.get("platform").endpointsChanged(false, List.of(entry("platform-s", 8)));
+            return null;
+        });
+        assertEquals("accepted", submit("two", "order", KEPT));
+        assertEquals(1, onLoop(() -> world.serving.size()), "the new endpoint; the old one is stopped");
+        assertEquals(List.of(), List.copyOf(world.running), "no attempt at an endpoint of another destination");
+        onLoop(() -> {
+            world.directories.get("platform").endpointsChanged(true, List.of(entry("platform-s", 7)));
+            return null;
+        });
+        end(DeliveryPolicy.AttemptOutcome.DELIVERED);
+        awaitAnswers("one queuedesk-1 DELIVERED", "two queuedesk-1 DELIVERED");
+    }
 }
