Lists of endpoints take a bounded part of the heap, however new their names

A platform that lists 3,200 endpoints under new names three times a second ended the process after ten lists (96 MB), one list of 20,000 (3.6 MB) at once.

Cause: what leaves the list is kept for 30 s by the policy and 60 s by the sender, without a number; an answer of the agent may have 4 MB, which are some seven times that once they are parsed.

Fix: of what left the list the policy keeps 4,096 endpoints at most and EndpointNumbers 8,192, the latest; 3,200 are the most that the operators name, so a whole list that is omitted by mistake still keeps its state. An endpoint with a call in progress or an owed wait is kept. An answer of the agent may take a twentieth of the heap, 4 MB at most (1.8 MB with 36; 3,200 entries have 0.6). Its heads are limited like all others.

--- a/src/main/java/slipfield/agent/AgentClient.java
+++ b/src/main/java/slipfield/agent/AgentClient.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import slipfield.config.Config;
 import slipfield.log.FatalErrors;
+import slipfield.http.HeaderLimits;
 import slipfield.log.Log;
 import slipfield.socket.Connector;
 import slipfield.socket.StreamChannel;
@@ -31,6 +32,8 @@
  */
 public final class AgentClient {
     private static final int MAX_ANSWER_BYTES = 4 << 20;
+    /** A parsed list takes some seven times its bytes, so that a small heap needs a lower limit: a share of it, as a divisor. */
+    private static final int HEAP_PER_ANSWER = 20;
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
     private final EventLoop loop;
@@ -84,12 +87,17 @@
                     @Override
                     protected void initChannel(Channel newChannel) {
                         addHandlers.accept(newChannel);
-                        newChannel.pipeline().addLast(new HttpClientCodec(),
-                                new HttpObjectAggregator(MAX_ANSWER_BYTES), new AnswerHandler());
+                        newChannel.pipeline().addLast(new HttpClientCodec(new HeaderLimits().decoderConfig(),
+                                HttpClientCodec.DEFAULT_PARSE_HTTP_AFTER_CONNECT_REQUEST, HttpClientCodec.DEFAULT_FAIL_ON_MISSING_RESPONSE),
+                                new HttpObjectAggregator(maxAnswerBytes()), new AnswerHandler());
                     }
                 });
     }
 
+    private static int maxAnswerBytes() {
+        return (int) Math.min(MAX_ANSWER_BYTES, Runtime.getRuntime().maxMemory() / HEAP_PER_ANSWER);
+    }
+
     /**
      * Sends a request and calls {@code callback} once, unless {@link #close} is called before: with the answer, or with an empty
      * value if none came within the time limit. The limit counts from when the request is written to an established connection,
--- a/src/main/java/slipfield/core/EndpointNumbers.java
+++ b/src/main/java/slipfield/core/EndpointNumbers.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,12 +18,14 @@
 final class EndpointNumbers {
     /** Longer than the policy knows an endpoint that left the list, so that it never names one that is unknown here. */
     static final long FORGET_MS = 60_000;
+    /** So many that left the list are known at most; the policy keeps half as many. Beyond, the oldest are forgotten earlier. */
+    static final int MAX_REMOVED = 8192;
 
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, String> ids = new HashMap<>();
     private final Map<Long, Long> destinations = new HashMap<>();
-    /** When each endpoint left the list, by number; those of the list are missing. */
-    private final Map<Long, Long> removedSince = new HashMap<>();
+    /** When each endpoint left the list, by number, the oldest first; those of the list are missing. */
+    private final Map<Long, Long> removedSince = new LinkedHashMap<>();
     private long next;
 
     /** A number, the id that it stands for, and its destination; the id may have another number by now. */
@@ -84,19 +88,26 @@
         return Set.copyOf(numbers.keySet());
     }
 
-    /** Forgets the endpoints that left the list long ago, and returns them. */
+    /** Forgets the endpoints that left the list long ago, or first of too many, and returns them. */
     List<Forgotten> forgetOld(long nowNanos) {
         List<Forgotten> forgotten = new ArrayList<>();
-        removedSince.entrySet().removeIf(removed -> {
+        Iterator<Map.Entry<Long, Long>> oldest = removedSince.entrySet().iterator();
+        int excess = removedSince.size() - MAX_REMOVED;
+        while (oldest.hasNext()) {
+            Map.Entry<Long, Long> removed = oldest.next();
             boolean old = nowNanos - removed.getValue() > TimeUnit.MILLISECONDS.toNanos(FORGET_MS);
-            if (old) {
-                long number = removed.getKey();
-                String id = ids.remove(number);
-                destinations.remove(number);
-                forgotten.add(new Forgotten(number, id, !numbers.remove(id, number)));
+            if (!old && forgotten.size() >= excess) {
+                break;
             }
-            return old;
-        });
+            oldest.remove();
+            forgotten.add(forget(removed.getKey()));
+        }
         return forgotten;
     }
+
+    private Forgotten forget(long number) {
+        String id = ids.remove(number);
+        destinations.remove(number);
+        return new Forgotten(number, id, !numbers.remove(id, number));
+    }
 }
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -508,6 +508,10 @@
     }
 
     private void remember(String endpoint, Journal.Health health) {
+        if (endpoint == null) {
+            // Forgotten, since there were too many; a call to it was still in progress.
+            return;
+        }
         try {
             journal.recordHealth(endpoint, health);
         } catch (IOException e) {
--- a/src/main/java/slipfield/policy/WaveDeliveryPolicy.java
+++ b/src/main/java/slipfield/policy/WaveDeliveryPolicy.java
@@ -111,6 +111,11 @@
 
     /** The state of an endpoint that has left the list is dropped after this time. */
     private static final double KEEP_REMOVED_MS = 30_000;
+    /**
+     * So many endpoints that left the list are kept at most: more than a whole list of the largest fleet
+     * has, which may be omitted by mistake, and few enough for lists whose names are always new.
+     */
+    private static final int MAX_REMOVED = 4096;
 
     // Connections.
     /** A connection that was unused for at least this time counts as idle. */
@@ -195,7 +200,21 @@
                 target.removedAt = Double.POSITIVE_INFINITY;
             }
         }
-        targets.values().removeIf(t -> t.mayBeDropped() && t.destination.targets.remove(t));
+        dropRemoved();
+    }
+
+    /** Drops endpoints that left the list long ago, and the oldest of them earlier if there are too many. */
+    private void dropRemoved() {
+        targets.values().removeIf(t ->
+                t.mayBeDropped(KEEP_REMOVED_MS) && t.destination.targets.remove(t));
+        if (targets.size() <= MAX_REMOVED) {
+            return;
+        }
+        List<Target> removed = targets.values().stream().filter(t -> t.removedAt <= clock)
+                .sorted(Comparator.comparingDouble(t -> t.removedAt)).toList();
+        removed.stream().limit(Math.max(0, removed.size() - MAX_REMOVED))
+                .filter(t -> t.mayBeDropped(0) && t.destination.targets.remove(t))
+                .forEach(t -> targets.remove(t.entry.id()));
     }
 
     @Override
@@ -625,14 +644,8 @@
 
         /** Returns the worth of a delivery at that time. */
         double worthAt(double time) {
-            if (time > deadline) {
-                return 0;
-            }
-            double late = Math.max(0, time - aimAt);
-            double share = settings.decay() == Decay.HALVING
-                    ? Math.max(type.lateWorth(), Math.pow(0.5, late / type.aimMs()))
-                    : 1 - (1 - type.lateWorth()) * late / (type.deadlineMs() - type.aimMs());
-            return type.worth() * share;
+            return time > deadline ? 0
+                    : WorthCurve.worth(type, settings.decay(), Math.max(0, time - aimAt));
         }
 
         double rank() {
@@ -945,8 +958,8 @@
         }
 
         /** A list may omit an endpoint by mistake, so its state is kept for as long as it can matter. */
-        boolean mayBeDropped() {
-            return clock > removedAt + KEEP_REMOVED_MS && calls.isEmpty() && limit.delayedUntil <= clock;
+        boolean mayBeDropped(double keepMs) {
+            return clock >= removedAt + keepMs && calls.isEmpty() && limit.delayedUntil <= clock;
         }
 
         /**
--- a/src/test/java/slipfield/core/EndpointNumbersTest.java
+++ b/src/test/java/slipfield/core/EndpointNumbersTest.java
@@ -47,4 +47,15 @@
         endpoints.removed("b", LATER);
         assertEquals(1, endpoints.forgetOld(3 * LATER).stream().filter(gone -> gone.id().equals("b")).count());
     }
+
+    /** Guards against lists whose names are always new: what had left them filled the heap within its minute. */
+    @Test
+    void ofTooManyThatLeftTheListTheOldestAreForgottenAtOnce() {
+        for (int i = 0; i < EndpointNumbers.MAX_REMOVED + 3; i++) {
+            endpoints.number("id-" + i, i);
+        }
+        assertEquals(List.of("id-0", "id-1", "id-2"),
+                endpoints.forgetOld(EndpointNumbers.MAX_REMOVED).stream().map(EndpointNumbers.Forgotten::id).toList());
+        assertEquals(EndpointNumbers.MAX_REMOVED, endpoints.ids().size());
+    }
 }
