Tests of pictures (b) and (c): new names at full speed, and a client that leaves

Need: pictures (b) and (c) of the issue, each with a test, shown or not.

(b) HostileCrowdTest.unsoundRequestsUnderNewNames...: one connection, small requests without a pause, each with a new class, id, caller, destination and field. (c) HttpFrontendTest.whatIsUnreadWhenItsClientLeavesIsNotSubmitted: 300 orders unread when their client closes.

--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -75,9 +75,9 @@
      * answers, notices and calls of an iteration are sent before the next reads are processed. Hundreds of clients that send
      * single octets have to fit in, since others wait for their turn.
      */
-    private static final int WORK_PER_ITERATION = 512;
+    static final int WORK_PER_ITERATION = 512;
     /** The work of a complete request, beside that of its parts. */
-    private static final int WORK_PER_REQUEST = 28;
+    static final int WORK_PER_REQUEST = 28;
     /** The number of requests of one connection that are processed before the next connection's: one read may hold hundreds. */
     static final int REQUESTS_PER_TURN = 2;
     /** The number of heads and parts of bodies that are decoded in one turn: one read may hold thousands of chunks. */
--- a/src/test/java/slipfield/daemon/HostileCrowdTest.java
+++ b/src/test/java/slipfield/daemon/HostileCrowdTest.java
@@ -8,6 +8,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Path;
@@ -16,6 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -80,6 +82,48 @@
         assertOthersAreServedBeside(Arrays.asList(CrowdBehavior.values()));
     }
 
+    /** Guards against a queue or a table that one client can fill, and against work for it that others wait for. */
+    @Test
+    void unsoundRequestsUnderNewNamesAtFullSpeedTakeNeitherTheHeapNorOthersAnswers() throws Exception {
+        UsualClient usual = new UsualClient(world.sender());
+        usual.submitFor(ORDER_EACH_MS);
+        AtomicBoolean over = new AtomicBoolean();
+        Thread flood = new Thread(() -> sendUnsoundRequests(over));
+        flood.start();
+        usual.submitFor(CROWD_MS);
+        over.set(true);
+        flood.join();
+        assertTrue(sender.isAlive(), () -> log());
+        assertTrue(usual.answered.get() >= 0.9 * usual.sent.get(), usual.answered + " of " + usual.sent + " had their answer in time");
+    }
+
+    /** Sends small requests without a pause on one connection, while another thread reads the answers; each names something new. */
+    private void sendUnsoundRequests(AtomicBoolean over) {
+        for (int round = 0; !over.get(); round++) {
+            try (Socket socket = new Socket(world.sender().getAddress(), world.sender().getPort())) {
+                InputStream answers = socket.getInputStream();
+                Thread reading = new Thread(() -> readAll(answers));
+                reading.start();
+                for (int i = 0; !over.get(); i++) {
+                    String name = round + "-" + i;
+                    Stub.write(socket, "POST /class-" + name + " HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+                            + "POST /order HTTP/1.1\r\nX-Call-Id: bad-" + name + "\r\nX-Caller: caller-" + name
+                            + "\r\nX-Budget-Ms: 1\r\nX-Envelope: dest=" + i + "\r\nX-" + name + ": a\r\nContent-Length: 0\r\n\r\n");
+                }
+            } catch (IOException closed) {
+                // It connects again.
+            }
+        }
+    }
+
+    private static void readAll(InputStream answers) {
+        try {
+            answers.transferTo(OutputStream.nullOutputStream());
+        } catch (IOException closed) {
+            // The sender has closed the connection.
+        }
+    }
+
     private void assertOthersAreServedBeside(List<CrowdBehavior> behaviors) throws Exception {
         world.desks(0).atRate(20);
         Stub.await("orders are accepted", () -> world.ledger().account().taken() >= 10);
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -167,6 +167,31 @@
         assertEquals(List.of("id-4"), intake.submittedIds);
     }
 
+    /** Guards against orders that are sent on although their client closed its connection with most of them unread. */
+    @Test
+    void whatIsUnreadWhenItsClientLeavesIsNotSubmitted() throws Exception {
+        int orders = 300;
+        EventLoop loop = group.next();
+        RecordingIntake intake = new RecordingIntake();
+        HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
+                intake);
+        InetSocketAddress address = frontend.listen();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
+        sockets.add(socket);
+        Stub.write(socket, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        assertEquals("HTTP/1.1 200 OK", Stub.read(new BufferedInputStream(socket.getInputStream()), 0).line());
+        CountDownLatch left = new CountDownLatch(1);
+        blockLoop(loop, left);
+        for (int i = 0; i < orders; i++) {
+            submit(socket, "id-" + i);
+        }
+        socket.close();
+        left.countDown();
+        Stub.await("it is closed", () -> loop.submit(frontend::openConnections).syncUninterruptibly().getNow() == 0);
+        assertTrue(intake.submittedIds.size() <= HttpFrontend.WORK_PER_ITERATION / HttpFrontend.WORK_PER_REQUEST,
+                intake.submittedIds.toString());
+    }
+
     /** Found by a review: the data of clients that sent hundreds of requests at once was read until the heap was full. */
     @Test
     void clientsAreReadNoFasterThanTheirRequestsAreProcessed() throws Exception {
