An answer that has arrived when a call's time-out expires is read

Cause: HttpTransport.Call.timedOut closed the connection as soon as its timer was due. The answer, a 429 with Retry-After, had arrived 46 ms before, while the event loop, just started and without a core of its own, was reading from other sockets: timers that are due are run before the next look at the sockets. So the wait was told and not heeded.

Fix: when the time is over the call ends by a second task, which runs at once, but after the sockets were read once more, as AgentClient has done it for long.

The test HttpTransportTest.anAnswerThatHasArrivedWhenTheTimeOutExpiresIsRead blocks the loop in another connection's read; it failed before (TIMED_OUT, no delay). Related paths: notices and discovery use AgentClient; a connect that completes as its time is over is not a call yet.

--- a/src/main/java/slipfield/transport/http/HttpTransport.java
+++ b/src/main/java/slipfield/transport/http/HttpTransport.java
@@ -185,7 +185,7 @@
     public Attempt attempt(PendingMessage message, int number, long endpoint, AttemptTiming timing, long decidedNanos) {
         double leftMs = Math.max(0, timing.timeoutMs() - (System.nanoTime() - decidedNanos) / 1e6);
         Call call = new Call(message, number, endpoints.get(endpoint), leftMs, decidedNanos, timing.latestWriteMs());
-        call.timer = loop.schedule(call::timedOut, (long) Math.ceil(leftMs * 1000), TimeUnit.MICROSECONDS);
+        call.timer = loop.schedule(call::timeExpired, (long) Math.ceil(leftMs * 1000), TimeUnit.MICROSECONDS);
         Connection connection = call.target.newestIdle();
         if (connection != null) {
             call.write(connection);
@@ -381,6 +381,14 @@
             return request;
         }
 
+        /**
+         * The time-out has expired. An answer may have arrived while the event loop was busy, with a delay that has to be heeded;
+         * the second task runs at once, but only after the loop has read from its sockets once more.
+         */
+        private void timeExpired() {
+            timer = loop.schedule(this::timedOut, 0, TimeUnit.MILLISECONDS);
+        }
+
         private void timedOut() {
             end(requestWritten ? AttemptOutcome.TIMED_OUT : AttemptOutcome.UNREACHABLE);
             close();
--- a/src/test/java/slipfield/transport/http/HttpTransportTest.java
+++ b/src/test/java/slipfield/transport/http/HttpTransportTest.java
@@ -4,14 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -108,6 +115,34 @@
         assertTrue(end() != null, "it times out at once, not after ten minutes");
     }
 
+    /** Guards against a requested delay that is not heeded: the answer had arrived while the event loop read from another socket. */
+    @Test
+    void anAnswerThatHasArrivedWhenTheTimeOutExpiresIsRead() throws Exception {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        stub.script(Stub.silent());
+        try (Stub other = new Stub(Stub.status(200, ""))) {
+            Channel reader = new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext ctx, Object data) throws Exception {
+                    blocked.countDown();
+                    assertTrue(released.await(30, TimeUnit.SECONDS));
+                }
+            }).connect(other.address()).sync().channel();
+            long begun = System.nanoTime();
+            long timeoutMs = 500;
+            start(new byte[1], timeoutMs);
+            Stub.await("the call has come", () -> !stub.requests.isEmpty());
+            reader.writeAndFlush(Unpooled.copiedBuffer("GET / HTTP/1.1\r\n\r\n", StandardCharsets.US_ASCII));
+            assertTrue(blocked.await(30, TimeUnit.SECONDS));
+            stub.answerAll("HTTP/1.1 429 x\r\nRetry-After: 0.7\r\nContent-Length: 0\r\n\r\n");
+            Stub.await("its time is over", () -> System.nanoTime() - begun > TimeUnit.MILLISECONDS.toNanos(2 * timeoutMs));
+            released.countDown();
+            assertEquals(new End(AttemptOutcome.FULL, false, 700), end());
+            reader.close();
+        }
+    }
+
     /** Calls were sent 2.10 s after the endpoint list had reported a drain, because connecting had taken that long. */
     @Test
     void aCallIsNotSentIfItsEndpointWasStoppedWhileConnecting() throws Exception {
