Connections are accepted no faster than the event loop sets them up

What callers saw: with more clients than connections that connect again at once, the process holds up to 980 of its 1,024 descriptors (1,016 with a profiler on); beyond that neither clients nor venues can be reached.

Cause: the accepting thread took whatever waited. A connection counts in the limit (585) only once the event loop has set it up, and one that is evicted gives its descriptor back only when the loop looks at its sockets again, up to 100 ms later.

Fix: ListenerChannel pauses with 64 connections that are not set up, and counts one as set up after the loop's next look at its sockets. The rest waits in the system's queue (512). The drain accepts all that wait, as before.

--- a/src/main/java/slipfield/amqp/server/AmqpServer.java
+++ b/src/main/java/slipfield/amqp/server/AmqpServer.java
@@ -154,6 +154,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        ListenerChannel.settingUp(channel);
                         first.accept(channel);
                         accept(channel);
                     }
--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -196,6 +196,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        ListenerChannel.settingUp(channel);
                         addHandlers(channel);
                     }
                 });
--- a/src/main/java/slipfield/socket/ListenerChannel.java
+++ b/src/main/java/slipfield/socket/ListenerChannel.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import slipfield.log.FatalErrors;
 import slipfield.log.Log;
 
@@ -28,8 +29,45 @@
     /** Attempts to accept the pending connections; after the last one the socket is closed even if some are left. */
     private static final int MAX_TRIES = 50;
 
+    /**
+     * Limit on the connections that are accepted and not set up by their event loop yet. Each holds a file descriptor that no
+     * limit on connections counts; further ones wait in the system's queue.
+     */
+    static final int MAX_UNREADY = 64;
+
+    private final AtomicInteger unready = new AtomicInteger();
+
+    /**
+     * The connection is being set up by its event loop, on which this is called. It counts as set up once the loop has looked at
+     * its sockets again: only then are connections closed that were evicted for it.
+     */
+    public static void settingUp(Channel connection) {
+        if (connection.parent() instanceof ListenerChannel listener) {
+            connection.eventLoop().schedule(listener::oneIsReady, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void oneIsReady() {
+        if (unready.decrementAndGet() == MAX_UNREADY / 2 && isOpen()) {
+            eventLoop().execute(() -> config().setAutoRead(true));
+        }
+    }
+
+    /** The number of connections that are accepted and not set up yet. */
+    int unready() {
+        return unready.get();
+    }
+
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
+        if (unready.get() >= MAX_UNREADY) {
+            config().setAutoRead(false);
+            return 0;
+        }
+        return accept(accepted);
+    }
+
+    private int accept(List<Object> accepted) throws IOException {
         SocketChannel connection = javaChannel().accept();
         if (connection == null) {
             return 0;
@@ -40,6 +78,7 @@
             connection.close();
             throw new IOException("the channel of an accepted connection could not be created", e);
         }
+        unready.incrementAndGet();
         return 1;
     }
 
@@ -56,7 +95,7 @@
         List<Object> pending = new ArrayList<>();
         boolean failed = false;
         try {
-            while (doReadMessages(pending) > 0) {
+            while (accept(pending) > 0) {
                 // Repeat until the queue is empty.
             }
         } catch (Exception e) {
