AMQP connections and channels count by what was measured

Need: a connection was counted with 8 KB and a channel with 1, so that 1,000 connections of ten channels, which are in the measurements with 11 MB of live heap, would have exceeded the budget of 15 MB, and no channel been opened. Now 4 and 0.75 KB, the measured figures: 11.8 MB. Found on reading the change again. AmqpFloodTest, UnhandledFramesTest and ServerFuzzTest pass.

--- a/src/main/java/slipfield/amqp/server/ServerConnection.java
+++ b/src/main/java/slipfield/amqp/server/ServerConnection.java
@@ -34,8 +34,8 @@
 /** A client connection: handshake, channels and close. Specification 0-9-1, 2.2.4 and class connection. */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements MemoryBudget.Holder {
     /** The heap that a connection takes by itself, in octets, and each of its channels and consumers, as measured. */
-    private static final long OCTETS_PER_CONNECTION = 8 * 1024;
-    private static final long OCTETS_PER_CHANNEL = 1024;
+    private static final long OCTETS_PER_CONNECTION = 4 * 1024;
+    private static final long OCTETS_PER_CHANNEL = 768;
     private static final long OCTETS_PER_CONSUMER = 1024;
     /** Limit from connecting until the connection is open. A login that waits for its check may take most of that time. */
     private static final double OPEN_MS = 20_000;
