HTTP front: connections, accepted messages and what they share in files of their own

HttpFrontendTest, SenderTest, ClientConnectionsTest, ReceiveQueueTest, BodyAggregatorTest, RequestFloodTest and ArchitectureTest pass.

--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -188,7 +188,7 @@
         socket.close();
         left.countDown();
         Stub.await("it is closed", () -> loop.submit(frontend::openConnections).syncUninterruptibly().getNow() == 0);
-        assertTrue(intake.submittedIds.size() <= HttpFrontend.WORK_PER_ITERATION / HttpFrontend.WORK_PER_REQUEST,
+        assertTrue(intake.submittedIds.size() <= HttpFrontend.WORK_PER_ITERATION / ClientConnection.WORK_PER_REQUEST,
                 intake.submittedIds.toString());
     }
 
@@ -270,7 +270,7 @@
         for (int i = 0; i < smallRequests; i++) {
             assertEquals("HTTP/1.1 404 Not Found", Stub.read(answers.get(0), 0).line());
         }
-        assertTrue(processedBefore.get() <= HttpFrontend.REQUESTS_PER_TURN, processedBefore.toString());
+        assertTrue(processedBefore.get() <= ClientConnection.REQUESTS_PER_TURN, processedBefore.toString());
     }
 
     /** Guards against a read of hundreds of tiny chunks that is processed in one piece: usual clients had no answer in time. */
@@ -381,7 +381,7 @@
     void beyondALimitTheOldestIncompleteRequestsAreRefused() throws Exception {
         RecordingIntake intake = new RecordingIntake();
         EventLoop loop = group.next();
-        MemoryBudget budget = new MemoryBudget(100_000 + 3 * HttpFrontend.BYTES_PER_CONNECTION);
+        MemoryBudget budget = new MemoryBudget(100_000 + 3 * ClientConnection.BYTES_PER_CONNECTION);
         HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
                 intake, HttpFrontend.Extensions.NONE, new MemoryGuard(budget));
         InetSocketAddress address = frontend.listen();
@@ -409,7 +409,7 @@
         EventLoop loop = group.next();
         HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), MAX_CLIENTS,
                 new RecordingIntake(), HttpFrontend.Extensions.NONE, new MemoryGuard(
-                        new MemoryBudget(50_000 + 2 * HttpFrontend.BYTES_PER_CONNECTION)));
+                        new MemoryBudget(50_000 + 2 * ClientConnection.BYTES_PER_CONNECTION)));
         InetSocketAddress address = frontend.listen();
         String incomplete = "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 45000\r\n\r\n" + "x".repeat(44_999);
         sockets.add(new Socket(address.getAddress(), address.getPort()));
