A request that was answered before its end gets no second answer when it is evicted

What callers saw: nothing yet; found on reading the change again. A client whose incomplete request was answered (408, 413, 431, 503) has half a second to read that; if its connection was evicted within it, a 503 followed, which a client may take for the answer to its next request.

Cause:: the eviction of an incomplete request answers it, and did not look whether it was answered.

Fix: a connection that is being closed is only closed. The fields of an answered request are dropped with the answer, not with the connection.

Evidence: HttpFrontendTest.anIncompleteRequestThatWasAnsweredGetsNoSecondAnswerWhenItIsEvicted failed before (408, then 503).

--- a/src/main/java/slipfield/front/http/ClientConnection.java
+++ b/src/main/java/slipfield/front/http/ClientConnection.java
@@ -120,7 +120,10 @@
 
     @Override
     public void evict() {
-        if (requestIncomplete) {
+        if (entry.state() == ClientConnections.State.CLOSING) {
+            // It has its last answer.
+            channel.close();
+        } else if (requestIncomplete) {
             answerAndClose(HttpAnswers.refusal("too many connections", GIVEN_UP_WAIT_MS), CloseReason.EVICTED);
             channel.close();
         } else {
@@ -164,8 +167,8 @@
     }
 
     /**
-     * Accounts for what this connection holds, and for what its eviction depends on. Only an incomplete request can be given up: what was received after it or
-     * waits for its turn may be complete, and is owed an answer.
+     * Accounts for what this connection holds, and for what its eviction depends on. Only an incomplete request can be given up:
+     * what was received after it or waits for its turn may be complete, and is owed an answer.
      */
     void updateAccounts() {
         long fixed = BYTES_PER_CONNECTION + unread.bytes() + HEAP_PER_ANSWER_BYTE * unsentAnswerBytes();
@@ -279,7 +282,7 @@
     private void discardRequest() {
         channel.pipeline().remove(aggregator);
         channel.pipeline().remove(decoder);
-        headers.discard();
+        setRequestIncomplete(false);
         updateAccounts();
     }
 
@@ -292,6 +295,7 @@
         shared.closeCounts.add(reason);
         setState(ClientConnections.State.CLOSING);
         channel.config().setAutoRead(false);
+        headers.discard();
         answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         channel.writeAndFlush(answer);
     }
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -421,6 +421,20 @@
         assertEquals("", new String(in.readAllBytes(), StandardCharsets.US_ASCII));
     }
 
+    /** Guards against a second answer to an incomplete request that was answered and then has to make room. */
+    @Test
+    void anIncompleteRequestThatWasAnsweredGetsNoSecondAnswerWhenItIsEvicted() throws Exception {
+        HttpFrontend frontend = new HttpFrontend(group.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1,
+                new EmptyIntake());
+        InetSocketAddress address = frontend.listen();
+        sockets.add(new Socket(address.getAddress(), address.getPort()));
+        Stub.write(sockets.get(0), "POST /order HTTP/1.1\r\nHost: x\r\n" + "a: b\r\n".repeat(50));
+        BufferedInputStream in = new BufferedInputStream(sockets.get(0).getInputStream());
+        assertEquals("HTTP/1.1 408 Request Timeout", Stub.read(in, 0).line());
+        sockets.add(new Socket(address.getAddress(), address.getPort()));
+        assertEquals("", new String(in.readAllBytes(), StandardCharsets.US_ASCII));
+    }
+
     /** Guards against a process that stays after a request whose processing met an error such as a lack of memory. */
     @Test
     void anErrorInTheProcessingOfARequestEndsTheProcess() throws Exception {
