An endpoint that leaves the list by an entry without a destination stays the same one

What callers saw: nothing yet; found on reading the change again. With sources of endpoints merged (members file), an endpoint that left the list and came back counted as another one: what was known of its outage was gone, and endpoint.replaced was logged each time.

Cause: took an id with another destination for another endpoint, also in an entry that says the endpoint is gone. MergedDirectory writes those with destination 0.

Fix: an entry that is gone replaces nothing.

Evidence: SenderPortsTest.anEndpointThatLeavesAndComesBackIsTheSameOne failed before (number 2 in place of 0).

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -653,11 +653,15 @@
         EndpointCatalogue.Change change = catalogue.update(directory, complete, reported);
         List<DeliveryPolicy.Endpoint> list = new ArrayList<>();
         for (Directory.Entry e : change.entries()) {
-            endpoints.list(e.id(), e.destination(), System.nanoTime()).ifPresent(replaced -> {
-                Log.warn("endpoint.replaced", "endpoint", e.id(), "destination", e.destination(), "before", replaced.destination());
-                transport.stop(replaced.number());
-                list.add(policyEndpoint(replaced.number(), replaced.destination(), e, false, true));
-            });
+            // An entry that is gone may name no destination.
+            if (!e.gone()) {
+                endpoints.list(e.id(), e.destination(), System.nanoTime()).ifPresent(replaced -> {
+                    Log.warn("endpoint.replaced", "endpoint", e.id(), "destination", e.destination(), "before",
+                            replaced.destination());
+                    transport.stop(replaced.number());
+                    list.add(policyEndpoint(replaced.number(), replaced.destination(), e, false, true));
+                });
+            }
             long number = endpointNumber(e.id());
             if (FLOW_ENABLED) {
                 Flow.step("listed", e.id(), e.destination(), e.serving(), e.weight(), e.kind());
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.atomic.AtomicLong;
@@ -424,4 +425,18 @@
         end(DeliveryPolicy.AttemptOutcome.DELIVERED);
         awaitAnswers("one queuedesk-1 DELIVERED", "two queuedesk-1 DELIVERED");
     }
+
+    /** Guards against an endpoint that loses what is known of it, since the entry by which it left the list names no destination. */
+    @Test
+    void anEndpointThatLeavesAndComesBackIsTheSameOne() throws Exception {
+        Set<Long> before = onLoop(() -> Set.copyOf(world.serving.keySet()));
+        Directory.Entry gone = new Directory.Entry("platform-s", new InetSocketAddress(0), "", "", 0, false, 0, true);
+        for (Directory.Entry entry : List.of(gone, entry("platform-s", 7))) {
+            onLoop(() -> {
+                world.directories.get("platform").endpointsChanged(false, List.of(entry));
+                return null;
+            });
+        }
+        assertEquals(before, onLoop(() -> Set.copyOf(world.serving.keySet())));
+    }
 }
