A client that polls for final answers makes no room for newcomers

What callers saw: nothing yet; found on reading the change again. With GET /ends set up and all connections in use, a client that had polled eight times on a connection of its own, as the library does, was closed for any newcomer.

Cause: counts requests that submit nothing, and polls were among them.

Fix: a poll starts that count again.

Evidence: HttpFrontendTest.aClientThatPollsMakesNoRoomForANewOne failed before (its connection was closed in the tenth poll).

--- a/src/main/java/slipfield/front/http/ClientConnection.java
+++ b/src/main/java/slipfield/front/http/ClientConnection.java
@@ -396,6 +396,8 @@
             return;
         }
         boolean keepAlive = HttpUtil.isKeepAlive(request);
+        // Its client has submitted messages, maybe on another connection.
+        requestsWithoutSubmission = 0;
         setState(ClientConnections.State.POLLING);
         updateReading();
         String waitMs = parameter(query, "wait_ms");
--- a/src/test/java/slipfield/front/http/HttpFrontendTest.java
+++ b/src/test/java/slipfield/front/http/HttpFrontendTest.java
@@ -340,6 +340,31 @@
         assertEquals("HTTP/1.1 200 OK", Stub.read(in, 0).line());
     }
 
+    /** Guards against a client that only follows its final answers, and counts as one that asks much and submits nothing. */
+    @Test
+    void aClientThatPollsMakesNoRoomForANewOne() throws Exception {
+        EventLoop loop = group.next();
+        AtomicReference<Consumer<String>> poll = new AtomicReference<>();
+        HttpFrontend frontend = new HttpFrontend(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1,
+                new EmptyIntake(), new HttpFrontend.Extensions(-1, false, Optional.of(new PollRecorder(poll))), MemoryGuard.ofHeap());
+        InetSocketAddress address = frontend.listen();
+        Socket polling = new Socket(address.getAddress(), address.getPort());
+        sockets.add(polling);
+        BufferedInputStream in = new BufferedInputStream(polling.getInputStream());
+        for (int i = 0; i < 10; i++) {
+            poll.set(null);
+            Stub.write(polling, "GET /ends?client=a&after=&wait_ms=9000 HTTP/1.1\r\nHost: x\r\n\r\n");
+            Stub.await("the poll has come", () -> poll.get() != null);
+            if (i == 9) {
+                Socket other = new Socket(address.getAddress(), address.getPort());
+                sockets.add(other);
+                assertEquals(-1, other.getInputStream().read(), "the new connection is closed");
+            }
+            loop.submit(() -> poll.get().accept("answers")).sync();
+            assertEquals("HTTP/1.1 200 OK", Stub.read(in, 0).line());
+        }
+    }
+
     private record PollRecorder(AtomicReference<Consumer<String>> last) implements AnswerPolling {
         @Override
         public AnswerRecipient recipient(String peer) {
