--- a/src/main/java/slipfield/front/http/CloseCounts.java
+++ b/src/main/java/slipfield/front/http/CloseCounts.java
@@ -17,11 +17,6 @@
         changed |= reason.notable();
     }
 
-    /** The number of connections that were closed for this reason since the start. */
-    long count(CloseReason reason) {
-        return counts.getOrDefault(reason, 0L);
-    }
-
     /** Logs all counts since the start, unless only those of normal operation have changed since the last call. */
     void report() {
         if (!changed) {
--- a/src/main/java/slipfield/front/http/HttpFrontend.java
+++ b/src/main/java/slipfield/front/http/HttpFrontend.java
@@ -200,11 +200,6 @@
         return shared.receiveQueue.bytes();
     }
 
-    /** The number of connections that were closed for this reason. Called on the event loop. */
-    long closed(CloseReason reason) {
-        return shared.closeCounts.count(reason);
-    }
-
     private void report() {
         shared.closeCounts.report();
         shared.memory.report();
--- a/src/test/java/slipfield/socket/ListenerChannelTest.java
+++ b/src/test/java/slipfield/socket/ListenerChannelTest.java
@@ -69,6 +69,19 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
+    /** Blocks the connections' event loop until this latch is released. */
+    private CountDownLatch blockLoop() {
+        CountDownLatch released = new CountDownLatch(1);
+        loop.execute(() -> {
+            try {
+                assertTrue(released.await(30, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        return released;
+    }
+
     private void connectAll() throws IOException {
         for (int i = 0; i < CLIENTS; i++) {
             sockets.add(new Socket(listener.localAddress().getAddress(), listener.localAddress().getPort()));
@@ -85,14 +98,7 @@
     /** Guards against a burst of clients that takes all file descriptors before the limit on connections can close any. */
     @Test
     void connectionsAreAcceptedNoFasterThanTheirLoopSetsThemUp() throws Exception {
-        CountDownLatch released = new CountDownLatch(1);
-        loop.execute(() -> {
-            try {
-                assertTrue(released.await(30, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        CountDownLatch released = blockLoop();
         connectAll();
         Stub.await("some are accepted", () -> listener.unready() == ListenerChannel.MAX_UNREADY);
         Stub.await("accepting pauses", () -> !listener.config().isAutoRead());
@@ -105,14 +111,7 @@
     /** Guards against connections that wait in the system's queue and are reset by the close. */
     @Test
     void allThatWaitAreAcceptedBeforeTheClose() throws Exception {
-        CountDownLatch released = new CountDownLatch(1);
-        loop.execute(() -> {
-            try {
-                assertTrue(released.await(30, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
+        CountDownLatch released = blockLoop();
         connectAll();
         listener.acceptPendingAndClose();
         released.countDown();
