--- a/review/src-2/Amqp.java
+++ b/review/src-2/Amqp.java
@@ -4,11 +4,9 @@
 import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
-import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
@@ -18,7 +16,7 @@
 import javax.crypto.SecretKeyFactory;
 import javax.crypto.spec.PBEKeySpec;
 
-/** As much of AMQP 0-9-1 as the cases need, from its specification: a publisher with confirms, and a broker that is published to. */
+/** As much of AMQP 0-9-1 as the cases need, from its specification: a publisher with confirms. */
 final class Amqp {
     private static final int METHOD = 1;
     private static final int HEADER = 2;
@@ -137,17 +135,17 @@
         }
 
         /** A method with its content, in one write. */
-        synchronized void content(int method, Writer arguments, Writer properties, byte[] body) throws IOException {
+        synchronized void content(int channel, int method, Writer arguments, Writer properties, byte[] body) throws IOException {
             ByteArrayOutputStream all = new ByteArrayOutputStream();
-            all.writeBytes(frame(METHOD, 1, methodWriter(method, arguments)));
-            all.writeBytes(frame(HEADER, 1, o -> {
+            all.writeBytes(frame(METHOD, channel, methodWriter(method, arguments)));
+            all.writeBytes(frame(HEADER, channel, o -> {
                 o.writeShort(60);
                 o.writeShort(0);
                 o.writeLong(body.length);
                 properties.write(o);
             }));
             if (body.length > 0) {
-                all.writeBytes(frame(BODY, 1, o -> o.write(body)));
+                all.writeBytes(frame(BODY, channel, o -> o.write(body)));
             }
             out.write(all.toByteArray());
             out.flush();
@@ -164,10 +162,13 @@
         private final Lab lab;
         private final String name;
         private final Link link;
-        private final Map<Long, String> byTag = new ConcurrentHashMap<>();
-        /** The confirm of each message-id: ack or nack. */
+        /** Message-ids without a confirm, by channel and tag. */
+        private final Map<Integer, Map<Long, String>> byTag = new ConcurrentHashMap<>();
+        private final Map<Integer, Long> tags = new ConcurrentHashMap<>();
+        /** The confirm of each message-id: ack or nack, before it what its return said. */
         final Map<String, String> confirms = new ConcurrentHashMap<>();
-        private long tag;
+        private final Map<String, String> returns = new ConcurrentHashMap<>();
+        private final java.util.concurrent.BlockingQueue<Integer> opened = new java.util.concurrent.LinkedBlockingQueue<>();
 
         Publisher(Lab lab, String name, int port, String user, String password) throws IOException {
             this.lab = lab;
@@ -199,11 +200,33 @@
                 o.writeShort(0);
             });
             link.expect(10_041);
-            link.method(1, 20_010, o -> shortText(o, ""));
-            link.expect(20_011);
-            link.method(1, 85_010, o -> o.writeByte(0));
-            link.expect(85_011);
             Lab.thread(this::readConfirms);
+            open(1);
+        }
+
+        /** Opens a channel in confirm mode. */
+        void open(int channel) throws IOException {
+            byTag.put(channel, new ConcurrentHashMap<>());
+            tags.put(channel, 0L);
+            link.method(channel, 20_010, o -> shortText(o, ""));
+            link.method(channel, 85_010, o -> o.writeByte(0));
+            try {
+                if (opened.poll(5, java.util.concurrent.TimeUnit.SECONDS) == null) {
+                    throw new IOException("the channel was not opened");
+                }
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        }
+
+        /** Closes a channel; nothing is heard of what is unconfirmed on it. */
+        void closeChannel(int channel) throws IOException {
+            link.method(channel, 20_040, o -> {
+                o.writeShort(200);
+                shortText(o, "bye");
+                o.writeShort(0);
+                o.writeShort(0);
+            });
         }
 
         private void readConfirms() {
@@ -211,23 +234,19 @@
                 while (true) {
                     Frame frame = link.read();
                     int method = frame.type == METHOD ? frame.method() : 0;
-                    if (method == 60_080 || method == 60_120) {
+                    if (method == 85_011) {
+                        opened.add(frame.channel);
+                    } else if (method == 60_080 || method == 60_120) {
                         DataInputStream in = frame.in();
                         in.skipBytes(4);
-                        long last = in.readLong();
-                        boolean multiple = (in.readUnsignedByte() & 1) != 0;
-                        String confirm = method == 60_080 ? "ack" : "nack";
-                        for (Map.Entry<Long, String> e : byTag.entrySet()) {
-                            if (multiple ? e.getKey() <= last : e.getKey() == last) {
-                                byTag.remove(e.getKey());
-                                confirms.put(e.getValue(), confirm);
-                                lab.note("publisher " + name + ": " + e.getValue() + " " + confirm);
-                            }
-                        }
+                        confirmed(byTag.get(frame.channel), in.readLong(), (in.readUnsignedByte() & 1) != 0,
+                                method == 60_080 ? "ack" : "nack");
                     } else if (method == 60_050) {
                         DataInputStream in = frame.in();
                         in.skipBytes(4);
-                        lab.note("publisher " + name + ": returned, " + in.readUnsignedShort() + " " + shortText(in));
+                        returned(in.readUnsignedShort() + " " + shortText(in), new String(link.read().payload, StandardCharsets.UTF_8));
+                    } else if (method == 10_050) {
+                        lab.note("publisher " + name + ": the sender closes the connection");
                     }
                 }
             } catch (IOException e) {
@@ -235,9 +254,33 @@
             }
         }
 
-        synchronized void publish(String exchange, String key, String id, long expirationMs) throws IOException {
-            byTag.put(++tag, id);
-            link.content(60_040, o -> {
+        private void confirmed(Map<Long, String> unconfirmed, long last, boolean multiple, String confirm) {
+            for (Map.Entry<Long, String> e : unconfirmed.entrySet()) {
+                if (multiple ? e.getKey() <= last : e.getKey() == last) {
+                    unconfirmed.remove(e.getKey());
+                    String id = e.getValue();
+                    confirms.put(id, returns.getOrDefault(id, "") + confirm);
+                    lab.note("publisher " + name + ": " + id + " " + confirms.get(id));
+                }
+            }
+        }
+
+        /** {@code header}: the content header, which has the message-id and the header that says what the end is. */
+        private void returned(String why, String header) {
+            for (Map<Long, String> unconfirmed : byTag.values()) {
+                unconfirmed.values().stream().filter(header::contains).forEach(id -> returns.put(id,
+                        (header.contains("refused") ? "refused" : header.contains("failed") ? "failed" : "returned")
+                                + " (" + why + "), "));
+            }
+        }
+
+        void publish(String exchange, String key, String id, long expirationMs) throws IOException {
+            publish(1, exchange, key, id, expirationMs);
+        }
+
+        synchronized void publish(int channel, String exchange, String key, String id, long expirationMs) throws IOException {
+            byTag.get(channel).put(tags.merge(channel, 1L, Long::sum), id);
+            link.content(channel, 60_040, o -> {
                 o.writeShort(0);
                 shortText(o, exchange);
                 shortText(o, key);
@@ -258,143 +301,4 @@
             link.close();
         }
     }
-
-    /** A broker that senders publish to with confirms: a subclass decides what becomes of each message. */
-    abstract static class Broker implements Closeable {
-        private final ServerSocket listener;
-        private volatile Link link;
-        private long tag;
-
-        Broker(Lab lab) throws IOException {
-            listener = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
-            lab.track(this);
-        }
-
-        int port() {
-            return listener.getLocalPort();
-        }
-
-        void start() {
-            Lab.thread(() -> {
-                while (true) {
-                    try {
-                        Link accepted = new Link(listener.accept());
-                        Lab.thread(() -> serve(accepted));
-                    } catch (IOException e) {
-                        return;
-                    }
-                }
-            });
-        }
-
-        private void serve(Link from) {
-            try (from) {
-                from.in.readNBytes(PROTOCOL.length);
-                from.method(0, 10_010, o -> {
-                    o.writeByte(0);
-                    o.writeByte(9);
-                    o.writeInt(0);
-                    longBytes(o, "PLAIN".getBytes(StandardCharsets.US_ASCII));
-                    longBytes(o, "en_US".getBytes(StandardCharsets.US_ASCII));
-                });
-                from.expect(10_011);
-                from.method(0, 10_030, o -> {
-                    o.writeShort(64);
-                    o.writeInt(131_072);
-                    o.writeShort(0);
-                });
-                from.expect(10_031);
-                from.expect(10_040);
-                from.method(0, 10_041, o -> shortText(o, ""));
-                from.expect(20_010);
-                from.method(1, 20_011, o -> o.writeInt(0));
-                from.expect(85_010);
-                from.method(1, 85_011, o -> { });
-                link = from;
-                tag = 0;
-                while (true) {
-                    readPublish(from);
-                }
-            } catch (IOException e) {
-                // The sender has closed the connection, or the case is over.
-            }
-        }
-
-        private void readPublish(Link from) throws IOException {
-            Frame publish = from.read();
-            if (publish.type != METHOD || publish.method() != 60_040) {
-                throw new EOFException();
-            }
-            DataInputStream header = from.read().in();
-            header.skipBytes(4);
-            long size = header.readLong();
-            ByteArrayOutputStream body = new ByteArrayOutputStream();
-            while (body.size() < size) {
-                body.writeBytes(from.read().payload);
-            }
-            published(++tag, body.toString(StandardCharsets.UTF_8), messageId(header));
-        }
-
-        private static String messageId(DataInputStream in) throws IOException {
-            int flags = in.readUnsignedShort();
-            String id = "";
-            for (int bit = 15; bit >= 7; bit--) {
-                if ((flags & 1 << bit) == 0) {
-                    continue;
-                }
-                if (bit == 13) {
-                    in.skipBytes(in.readInt());
-                } else if (bit == 12 || bit == 11) {
-                    in.readUnsignedByte();
-                } else {
-                    id = shortText(in);
-                }
-            }
-            return (flags & 1 << 7) != 0 ? id : "";
-        }
-
-        /** A message was published under this tag; called on the connection's thread. */
-        abstract void published(long tag, String body, String messageId) throws IOException;
-
-        void ack(long of) throws IOException {
-            link.method(1, 60_080, o -> {
-                o.writeLong(of);
-                o.writeByte(0);
-            });
-        }
-
-        /** Returns a message as refused, with the time after which it may come again, and nacks it. */
-        void refuse(long of, String messageId, String key, long waitMs) throws IOException {
-            link.content(60_050, o -> {
-                o.writeShort(506);
-                shortText(o, "could not be delivered, and did not run");
-                shortText(o, "orders");
-                shortText(o, key);
-            }, o -> {
-                o.writeShort(1 << 13 | 1 << 7);
-                ByteArrayOutputStream table = new ByteArrayOutputStream();
-                DataOutputStream t = new DataOutputStream(table);
-                shortText(t, "x-slipfield-end");
-                t.writeByte('S');
-                longBytes(t, "refused".getBytes(StandardCharsets.US_ASCII));
-                shortText(t, "x-slipfield-retry-after-ms");
-                t.writeByte('l');
-                t.writeLong(waitMs);
-                longBytes(o, table.toByteArray());
-                shortText(o, messageId);
-            }, new byte[0]);
-            link.method(1, 60_120, o -> {
-                o.writeLong(of);
-                o.writeByte(0);
-            });
-        }
-
-        @Override
-        public void close() throws IOException {
-            listener.close();
-            if (link != null) {
-                link.close();
-            }
-        }
-    }
 }
