--- a/review/src-2/Lab.java
+++ b/review/src-2/Lab.java
@@ -193,14 +193,17 @@
 
     /** A stand-in server: one thread for each connection, one request at a time on it. */
     abstract static class Server implements Closeable {
-        private final Lab lab;
         private volatile ServerSocket listener;
         final int port;
         private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
         Server(Lab lab) throws IOException {
-            this.lab = lab;
-            listener = listen(0);
+            this(lab, 256);
+        }
+
+        /** {@code backlog}: how many connections the system makes before they are accepted. */
+        Server(Lab lab, int backlog) throws IOException {
+            listener = listen(0, backlog);
             port = listener.getLocalPort();
             lab.track(this);
         }
@@ -211,10 +214,10 @@
             thread(() -> accept(current));
         }
 
-        private static ServerSocket listen(int port) throws IOException {
+        private static ServerSocket listen(int port, int backlog) throws IOException {
             ServerSocket socket = new ServerSocket();
             socket.setReuseAddress(true);
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
             return socket;
         }
 
@@ -282,7 +285,7 @@
 
         /** The process is there again, at the same address. */
         void restart() throws IOException {
-            listener = listen(port);
+            listener = listen(port, 256);
             start();
         }
 
