--- a/review/src-2/Lab.java
+++ b/review/src-2/Lab.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -196,6 +197,8 @@
         private volatile ServerSocket listener;
         final int port;
         private final List<Socket> connections = new CopyOnWriteArrayList<>();
+        /** Connections that came up so far. */
+        final AtomicInteger accepted = new AtomicInteger();
 
         Server(Lab lab) throws IOException {
             this(lab, 256);
@@ -227,6 +230,7 @@
                     Socket socket = from.accept();
                     socket.setTcpNoDelay(true);
                     connections.add(socket);
+                    accepted.incrementAndGet();
                     thread(() -> serve(socket));
                 } catch (IOException e) {
                     return;
--- a/review/src-2/ManyAtOnce.java
+++ b/review/src-2/ManyAtOnce.java
@@ -16,6 +16,7 @@
 public final class ManyAtOnce {
     private static final int CONNECTIONS = 4;
     private static final int AT_ONCE = 3;
+    private static final int EXCUSED = -1;
 
     private ManyAtOnce() {
     }
@@ -58,7 +59,7 @@
             }
             Lab.sleep(700);
         }
-        if (answers.containsValue(0)) {
+        if (answers.values().stream().anyMatch(status -> status <= 0)) {
             lab.say("a request had no answer before the trouble");
             return Lab.NOT_RUN;
         }
@@ -117,6 +118,8 @@
                 lab.note("client: " + id + " answered " + answer.status() + " " + answer.field("connection"));
             }
         } catch (IOException e) {
+            // A reset: the sender may not have read what has no answer, and the client would send that once more.
+            answers.replaceAll((id, status) -> id.startsWith(name + "-") && status == 0 ? EXCUSED : status);
             lab.note("client: " + name + ": " + e + " after " + next.get() + " answers");
         }
     }
--- a/review/src-2/ReplacedInOutage.java
+++ b/review/src-2/ReplacedInOutage.java
@@ -36,8 +36,8 @@
         Other other = new Other(lab);
         List<Lab.Entry> first = List.of(a.entry(0),
                 new Lab.Entry("s-o", other.address(), 2, "main-venue", "SERVING", 100, 0));
-        // At 78 messages a second the load is 0.68; at full load a sender keeps 10.4 slots busy, and has 2.3 times as many.
-        String settings = Lab.SETTINGS.replace("\"workers\":10", "\"workers\":24").replace("\"max_open\":158", "\"max_open\":390");
+        // At 77.8 messages a second the load is 0.68; at full load a sender keeps 10.3 slots busy, and has 2.2 times as many.
+        String settings = Lab.SETTINGS.replace("\"workers\":10", "\"workers\":23").replace("\"max_open\":158", "\"max_open\":390");
         List<Lab.Agent> agents = new ArrayList<>();
         List<Lab.Sender> senders = new ArrayList<>();
         List<Lab.Client> clients = new ArrayList<>();
@@ -53,7 +53,7 @@
             sender.awaitReady(30_000);
         }
         double start = lab.now();
-        double load = 8;
+        double load = 7.8;
         double otherLoad = 70;
         double end = start + 33_000;
         Lab.thread(() -> {
--- a/review/src-2/UntriedGivenUp.java
+++ b/review/src-2/UntriedGivenUp.java
@@ -16,7 +16,9 @@
  * the next process try what was never tried?
  */
 public final class UntriedGivenUp {
-    private static final int ORDERS = 5;
+    private static final int ORDERS = 4;
+    /** Orders for each of the other two destinations. */
+    private static final int OTHERS = 5;
     private static final long BUDGET_MS = 24_000;
 
     private UntriedGivenUp() {
@@ -68,13 +70,33 @@
 
     private static int run(Lab lab) throws Exception {
         Venue venue = new Venue(lab);
+        Venue second = new Venue(lab);
+        Venue third = new Venue(lab);
+        second.acceptAll();
+        third.acceptAll();
         Lab.Agent agent = new Lab.Agent(lab, "n1",
-                List.of(new Lab.Entry("s-a", venue.address(), 1, "small-broker", "SERVING", 20, 0)));
+                List.of(new Lab.Entry("s-a", venue.address(), 1, "small-broker", "SERVING", 20, 0),
+                        new Lab.Entry("s-b", second.address(), 2, "small-broker", "SERVING", 20, 0),
+                        new Lab.Entry("s-c", third.address(), 3, "small-broker", "SERVING", 20, 0)));
         Lab.Sender sender = lab.new Sender("n1", agent, Lab.SETTINGS.replace("\"fleet_size\":3", "\"fleet_size\":2")
                 .replace("\"repeat\":\"keyed\"", "\"repeat\":\"unsafe\""));
         sender.start();
         sender.awaitReady(30_000);
         Lab.sleep(500);
+        Lab.Client client = new Lab.Client(lab, sender);
+        // Connections to other endpoints come up at once: they are two thirds of all.
+        for (int dest = 2; dest <= 3; dest++) {
+            for (int i = 0; i < OTHERS; i++) {
+                client.handIn("d" + dest + "-" + i, dest, BUDGET_MS);
+            }
+            Lab.sleep(1500);
+        }
+        int atOnce = second.accepted.get() + third.accepted.get();
+        if (atOnce < 2 * ORDERS) {
+            lab.say("only " + atOnce + " connections came up at once: " + ORDERS + " late ones would be over a third");
+            return Lab.NOT_RUN;
+        }
+        lab.say(atOnce + " connections to other endpoints came up at once");
         if (!lab.trouble) {
             venue.acceptAll();
         } else if (!venue.fillQueue()) {
@@ -83,12 +105,11 @@
         } else {
             lab.say("connections to the endpoint come up late from now on");
         }
-        Lab.Client client = new Lab.Client(lab, sender);
         for (int i = 0; i < ORDERS; i++) {
             client.handIn("m" + i, 1, BUDGET_MS);
         }
         Lab.sleep(300);
-        if (client.answers.size() < ORDERS || client.answers.values().stream().anyMatch(status -> status != 202)) {
+        if (client.answers.size() < 2 * OTHERS + ORDERS || client.answers.values().stream().anyMatch(status -> status != 202)) {
             lab.say("the orders were not taken on: " + client.answers);
             return Lab.NOT_RUN;
         }
