--- a/review/src-2/UntriedGivenUp.java
+++ b/review/src-2/UntriedGivenUp.java
@@ -17,7 +17,7 @@
  */
 public final class UntriedGivenUp {
     private static final int ORDERS = 4;
-    /** Orders for each of the other two destinations. */
+    /** Orders for each of the other three destinations. */
     private static final int OTHERS = 5;
     private static final long BUDGET_MS = 24_000;
 
@@ -72,26 +72,29 @@
         Venue venue = new Venue(lab);
         Venue second = new Venue(lab);
         Venue third = new Venue(lab);
+        Venue fourth = new Venue(lab);
         second.acceptAll();
         third.acceptAll();
+        fourth.acceptAll();
         Lab.Agent agent = new Lab.Agent(lab, "n1",
                 List.of(new Lab.Entry("s-a", venue.address(), 1, "small-broker", "SERVING", 20, 0),
                         new Lab.Entry("s-b", second.address(), 2, "small-broker", "SERVING", 20, 0),
-                        new Lab.Entry("s-c", third.address(), 3, "small-broker", "SERVING", 20, 0)));
+                        new Lab.Entry("s-c", third.address(), 3, "small-broker", "SERVING", 20, 0),
+                        new Lab.Entry("s-d", fourth.address(), 4, "small-broker", "SERVING", 20, 0)));
         Lab.Sender sender = lab.new Sender("n1", agent, Lab.SETTINGS.replace("\"fleet_size\":3", "\"fleet_size\":2")
                 .replace("\"repeat\":\"keyed\"", "\"repeat\":\"unsafe\""));
         sender.start();
         sender.awaitReady(30_000);
         Lab.sleep(500);
         Lab.Client client = new Lab.Client(lab, sender);
-        // Connections to other endpoints come up at once: they are two thirds of all.
-        for (int dest = 2; dest <= 3; dest++) {
+        // Connections to other endpoints come up at once: they are two thirds of all or more.
+        for (int dest = 2; dest <= 4; dest++) {
             for (int i = 0; i < OTHERS; i++) {
                 client.handIn("d" + dest + "-" + i, dest, BUDGET_MS);
             }
             Lab.sleep(1500);
         }
-        int atOnce = second.accepted.get() + third.accepted.get();
+        int atOnce = second.accepted.get() + third.accepted.get() + fourth.accepted.get();
         if (atOnce < 2 * ORDERS) {
             lab.say("only " + atOnce + " connections came up at once: " + ORDERS + " late ones would be over a third");
             return Lab.NOT_RUN;
@@ -109,7 +112,7 @@
             client.handIn("m" + i, 1, BUDGET_MS);
         }
         Lab.sleep(300);
-        if (client.answers.size() < 2 * OTHERS + ORDERS || client.answers.values().stream().anyMatch(status -> status != 202)) {
+        if (client.answers.size() < 3 * OTHERS + ORDERS || client.answers.values().stream().anyMatch(status -> status != 202)) {
             lab.say("the orders were not taken on: " + client.answers);
             return Lab.NOT_RUN;
         }
