A destination's outage outlives its endpoints: one under a new id starts cold

Cause: an outage, the probes and the slow start were kept on the endpoint. An endpoint with a new id was in service. OutageDetector, kept for the destination, held calls to one at a time until the first delivery only. The same holds for a new endpoint after the last one was dropped, one in addition, one that takes calls again, one beside a slow start, and a new id after a restart in the outage.

Fix: DestinationHealth keeps the state of the destination as a whole, also without endpoints; who enters service continues it.

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -181,11 +181,10 @@
         double now = beginIteration();
         journal.completedIds().forEach(endedIds::add);
         for (Map.Entry<String, Journal.Health> known : journal.endpointHealth().entrySet()) {
-            Journal.Health health = known.getValue();
-            double since = now - Math.max(0, wall - health.sinceMs());
-            policy.healthRestored(now, endpointNumber(known.getKey()),
-                    new DeliveryPolicy.Health(health.state(), since, health.carriedPerMs()));
+            policy.healthRestored(now, endpointNumber(known.getKey()), policyHealth(known.getValue(), now, wall));
         }
+        journal.destinationHealth().forEach((destination, health) ->
+                policy.destinationHealthRestored(now, destination, policyHealth(health, now, wall)));
         for (Map.Entry<Journal.SendRateKey, DeliveryPolicy.SendRate> known : journal.sendRates().entrySet()) {
             String route = known.getKey().endpoint();
             policy.sendRateRestored(now, known.getKey().destination(),
@@ -207,6 +206,12 @@
         recovery.start();
     }
 
+    /** Converts a health that the journal holds to the policy's time. */
+    private static DeliveryPolicy.Health policyHealth(Journal.Health health, double nowMs, long wallMs) {
+        double since = nowMs - Math.max(0, wallMs - health.sinceMs());
+        return new DeliveryPolicy.Health(health.state(), since, health.carriedPerMs());
+    }
+
     private final class RecoverySteps implements Recovery.Steps {
         @Override
         public void sendAnswer(PendingMessage message) {
@@ -492,9 +497,21 @@
 
     @Override
     public void saveHealth(long endpoint, DeliveryPolicy.Health health) {
+        remember(endpoints.id(endpoint), journalHealth(health));
+    }
+
+    @Override
+    public void saveDestinationHealth(long destination, DeliveryPolicy.Health health) {
+        try {
+            journal.recordDestinationHealth(destination, journalHealth(health));
+        } catch (IOException e) {
+            writeFailed("journal.health_unwritten", "", e);
+        }
+    }
+
+    private Journal.Health journalHealth(DeliveryPolicy.Health health) {
         long ago = (long) (iterationMs - health.since());
-        remember(endpoints.id(endpoint), new Journal.Health(health.state(), clock.wallMs() - ago,
-                health.carriedPerMs()));
+        return new Journal.Health(health.state(), clock.wallMs() - ago, health.carriedPerMs());
     }
 
     @Override
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -254,6 +254,18 @@
         return new TreeMap<>(state.health);
     }
 
+    /** Records the changed health of a destination as a whole; one that is in service is removed from the state. */
+    public void recordDestinationHealth(long destination, Health now) throws IOException {
+        byte[] record = RecordFormat.destinationHealth(destination, now);
+        state.destinationHealth(destination, now, record.length);
+        writeApplied(record);
+    }
+
+    /** The health of the destinations that were not in service as a whole when the last process ended. */
+    public Map<Long, Health> destinationHealth() {
+        return new TreeMap<>(state.destinationHealth);
+    }
+
     /** Size of the file in bytes, records of the current batch included. */
     public long size() {
         return size;
--- a/src/main/java/slipfield/journal/JournalState.java
+++ b/src/main/java/slipfield/journal/JournalState.java
@@ -21,6 +21,8 @@
     final Map<Long, PendingMessage> pending = new TreeMap<>();
     /** The last known health of endpoints that are not in service. */
     final Map<String, Journal.Health> health = new TreeMap<>();
+    /** The last known health of destinations that are not in service as a whole. */
+    final Map<Long, Journal.Health> destinationHealth = new TreeMap<>();
     final Map<Journal.SendRateKey, DeliveryPolicy.SendRate> sendRates = new LinkedHashMap<>();
     /** Ids of completed messages, the newest last, and whether they were delivered. */
     final Map<String, Boolean> completed = new LinkedHashMap<>();
@@ -105,10 +107,19 @@
 
     /** Sets an endpoint's health; one that is in service, or forgotten, is dropped. */
     void health(String endpoint, Journal.Health now, int length) {
-        boolean before = health.remove(endpoint) != null;
+        replaceHealth(health, endpoint, now, length);
+    }
+
+    /** Sets the health of a destination as a whole; one that is in service is dropped. */
+    void destinationHealth(long destination, Journal.Health now, int length) {
+        replaceHealth(destinationHealth, destination, now, length);
+    }
+
+    private <K> void replaceHealth(Map<K, Journal.Health> known, K key, Journal.Health now, int length) {
+        boolean before = known.remove(key) != null;
         boolean stays = now.state() != DeliveryPolicy.State.UP;
         if (stays) {
-            health.put(endpoint, now);
+            known.put(key, now);
         }
         bytes += (stays ? length : 0) - (before ? length : 0);
     }
@@ -118,6 +129,7 @@
         ByteArrayOutputStream all = new ByteArrayOutputStream((int) bytes);
         all.writeBytes(RecordFormat.clock(clock));
         health.forEach((endpoint, known) -> all.writeBytes(RecordFormat.health(endpoint, known)));
+        destinationHealth.forEach((destination, known) -> all.writeBytes(RecordFormat.destinationHealth(destination, known)));
         sendRates.forEach((key, known) -> all.writeBytes(RecordFormat.sendRate(key, known)));
         completed.forEach((id, delivered) -> all.writeBytes(RecordFormat.completedId(id, delivered)));
         for (PendingMessage message : pending.values()) {
--- a/src/main/java/slipfield/journal/RecordFormat.java
+++ b/src/main/java/slipfield/journal/RecordFormat.java
@@ -36,6 +36,10 @@
     static final int ACKNOWLEDGED = 12;
     /** A delivery that a recipient has yet to acknowledge. */
     static final int DELIVERED = 13;
+    /** The health of a destination as a whole. */
+    static final int DESTINATION_HEALTH = 14;
+    /** The number in records of types that older versions do not know: no message has it, so that they ignore these records. */
+    private static final long NO_MESSAGE = -1;
     /** Bytes of the length and the checksum. */
     static final int HEADER_BYTES = 12;
     /** Longest body in bytes; a greater length is taken for torn or foreign data. */
@@ -177,6 +181,17 @@
         });
     }
 
+    static byte[] destinationHealth(long destination, Journal.Health health) {
+        return record(out -> {
+            out.writeByte(DESTINATION_HEALTH);
+            out.writeLong(NO_MESSAGE);
+            out.writeLong(destination);
+            out.writeLong(health.sinceMs());
+            out.writeByte(health.state().ordinal());
+            out.writeDouble(health.carriedPerMs());
+        });
+    }
+
     static byte[] sendRate(Journal.SendRateKey key, DeliveryPolicy.SendRate rate) {
         return record(out -> {
             out.writeByte(SEND_RATE);
--- a/src/main/java/slipfield/journal/Replay.java
+++ b/src/main/java/slipfield/journal/Replay.java
@@ -89,6 +89,13 @@
                         in.readDouble()), length);
                 return;
             }
+            case RecordFormat.DESTINATION_HEALTH -> {
+                long destination = in.readLong();
+                long since = converted(in.readLong());
+                state.destinationHealth(destination,
+                        new Journal.Health(DeliveryPolicy.State.values()[in.readByte()], since, in.readDouble()), length);
+                return;
+            }
             case RecordFormat.SEND_RATE -> {
                 Journal.SendRateKey key = new Journal.SendRateKey(number, in.readUTF());
                 double perMs = in.readDouble();
--- a/src/main/java/slipfield/policy/DeliveryPolicy.java
+++ b/src/main/java/slipfield/policy/DeliveryPolicy.java
@@ -57,6 +57,12 @@
      */
     void healthRestored(double now, long endpoint, Health health);
 
+    /**
+     * Restores the health of a destination as an earlier process last saved it with {@link Actions#saveDestinationHealth}, likewise.
+     * An endpoint for which no health is restored starts in this state if none of the destination's listed endpoints is in service.
+     */
+    void destinationHealthRestored(double now, long destination, Health health);
+
     /**
      * Restores the send rate of a destination as an earlier process last saved it with {@link Actions#saveSendRate}.
      *
@@ -122,6 +128,10 @@
         default void saveHealth(long endpoint, Health health) {
         }
 
+        /** Saves the changed health of a destination as a whole, which an endpoint that is new to it starts with, likewise. */
+        default void saveDestinationHealth(long destination, Health health) {
+        }
+
         /** Saves the changed send rate of a destination or of one of its routes, likewise. */
         default void saveSendRate(long destination, long route, SendRate rate) {
         }
--- a/src/main/java/slipfield/policy/EndpointHealth.java
+++ b/src/main/java/slipfield/policy/EndpointHealth.java
@@ -150,6 +150,21 @@
         }
     }
 
+    /**
+     * Takes over the state of another endpoint of its destination, which is in an outage or recovers from one. This endpoint may
+     * have been started just now.
+     */
+    void continueFrom(EndpointHealth other, double now) {
+        state = other.state;
+        lastDeliveredAt = other.lastDeliveredAt;
+        lastUndeliveredAt = now;
+        downAt = other.downAt;
+        wasInService = other.wasInService;
+        recoveredAt = other.recoveredAt;
+        firstDeliveryAt = other.firstDeliveryAt;
+        callsFailed = other.callsFailed;
+    }
+
     private void failedWith(double now, double weight, String symptom) {
         evidence += (1 - evidence) * weight;
         if (countUndelivered(now) || evidence >= DOWN_EVIDENCE) {
--- a/src/main/java/slipfield/policy/WaveDeliveryPolicy.java
+++ b/src/main/java/slipfield/policy/WaveDeliveryPolicy.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 
 /**
  * Sends messages in waves of attempts. {@link DeliveryPolicy} describes all events, actions and values.
@@ -24,9 +25,10 @@
  * <p>Parts: {@link Delivery} is a message and its wave; {@link Call} one network call; {@link RateLimit} the
  * rate and requested delay of a destination, or of a route where routes are separate; {@link Target} an
  * endpoint. {@link EndpointHealth}, {@link OutageDetector} and {@link SlowStart} decide which calls an outage
- * and the recovery from it allow; {@link SendBudget} bounds hedged attempts and retries; {@link Connections}
- * decides which idle connections are trusted; {@link KeyOrder} keeps the order of keys; {@link Timers} holds
- * what is due later. Times are in milliseconds, rates in calls a millisecond.
+ * and the recovery from it allow, {@link DestinationHealth} what new endpoints continue; {@link SendBudget}
+ * bounds hedged attempts and retries; {@link IdleConnections} decides which idle connections are trusted;
+ * {@link KeyOrder} keeps the order of keys; {@link Timers} holds what is due later. Times are in
+ * milliseconds, rates in calls a millisecond.
  */
 final class WaveDeliveryPolicy implements DeliveryPolicy {
     // Waves.
@@ -35,7 +37,6 @@
     /** Hedged attempts allowed in a budget period: this number plus this share of the first sends. */
     private static final double HEDGE_BASE = 1;
     private static final double HEDGE_SHARE = 0.1;
-    private static final double BUDGET_PERIOD_MS = 10_000;
     /** New waves of refused messages allowed in a budget period, likewise. */
     private static final double RETRY_BASE = 2;
     private static final double RETRY_SHARE = 0.3;
@@ -117,14 +118,6 @@
      */
     private static final int MAX_REMOVED = 4096;
 
-    // Connections.
-    /** A connection that was unused for at least this time counts as idle. */
-    private static final double MIN_IDLE_MS = 100;
-    /** After losses, connections idle for over this share of the lost one's idle time are not trusted. */
-    private static final double TRUSTED_IDLE_SHARE = 0.25;
-    /** The losses are forgotten after this time. */
-    private static final double TRUST_RESET_MS = 30_000;
-
     // The queue.
     /** The rank is the worth lost by waiting this much longer, about as long as a queue under load takes. */
     private static final double RANK_HORIZON_MS = 1500;
@@ -152,10 +145,10 @@
     private final Map<Long, Delivery> deliveries = new LinkedHashMap<>();
     private final Set<Delivery> queue = new LinkedHashSet<>();
     private final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
-    private final Deque<Double> firstSends = new ArrayDeque<>();
-    private final SendBudget hedges = new SendBudget(HEDGE_BASE, HEDGE_SHARE);
-    private final SendBudget retries = new SendBudget(RETRY_BASE, RETRY_SHARE);
-    private final Connections connections = new Connections();
+    private final RecentTimes firstSends = new RecentTimes(SendBudget.PERIOD_MS);
+    private final SendBudget hedges = new SendBudget(HEDGE_BASE, HEDGE_SHARE, firstSends);
+    private final SendBudget retries = new SendBudget(RETRY_BASE, RETRY_SHARE, firstSends);
+    private final IdleConnections connections;
     private final SlowStart slowStart;
     private final KeyOrder keys = new KeyOrder();
     private final Timers timers;
@@ -169,6 +162,7 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new SplittableRandom(seed);
+        this.connections = new IdleConnections(settings.keepAliveMs());
         this.slowStart = new SlowStart(settings.coldStart(), settings.senders());
         this.timers = new Timers(actions::wakeAt, CLOCK_MARGIN_MS);
         this.batching = settings.kinds().stream().anyMatch(kind -> kind.batchSize() > 1);
@@ -180,29 +174,44 @@
     public void endpointsChanged(double now, boolean whole, List<Endpoint> entries) {
         advanceClock(now);
         if (whole) {
-            targets.values().forEach(Target::markRemoved);
+            Set<Long> listed = entries.stream().map(Endpoint::id).collect(Collectors.toSet());
+            targets.values().stream().filter(t -> !listed.contains(t.entry.id()))
+                    .forEach(Target::markRemoved);
         }
+        List<Endpoint> entering = new ArrayList<>();
         for (Endpoint entry : entries) {
-            Destination destination = destination(entry.destination());
             Target target = targets.get(entry.id());
-            if (target == null) {
-                target = new Target(entry, destination);
-                targets.put(entry.id(), target);
-                destination.targets.add(target);
-                Optional.ofNullable(restoredHealth.remove(entry.id())).ifPresent(target::restore);
-                Optional.ofNullable(restoredRates.remove(entry.id())).ifPresent(target.limit::restore);
-            }
-            target.limit.listedRate = settings.ratesListed() ? entry.listedRate() / 1000 : 0;
-            if (entry.removed()) {
-                target.markRemoved();
+            if (target == null || !target.serving && entry.serving()) {
+                entering.add(entry);
             } else {
-                target.serving = entry.serving();
-                target.removedAt = Double.POSITIVE_INFINITY;
+                target.update(entry);
             }
         }
+        // Later than the others, since those tell whether a destination is in an outage.
+        entering.stream().map(entry -> destination(entry.destination())).distinct()
+                .forEach(Destination::updateHealth);
+        entering.forEach(this::enter);
         dropRemoved();
     }
 
+    /** An endpoint is new in the list, or takes calls again. */
+    private void enter(Endpoint entry) {
+        Target target = targets.get(entry.id());
+        if (target == null) {
+            Destination destination = destination(entry.destination());
+            target = new Target(entry, destination);
+            targets.put(entry.id(), target);
+            destination.targets.add(target);
+            Optional.ofNullable(restoredHealth.remove(entry.id())).ifPresent(target::restore);
+            Optional.ofNullable(restoredRates.remove(entry.id())).ifPresent(target.limit::restore);
+        }
+        boolean enters = !target.serving && entry.serving() && !entry.removed();
+        target.update(entry);
+        if (enters && target.health.state() == State.UP) {
+            target.destination.health.outage().ifPresent(target::continueOutage);
+        }
+    }
+
     /** Drops endpoints that left the list long ago, and the oldest of them earlier if there are too many. */
     private void dropRemoved() {
         targets.values().removeIf(t ->
@@ -250,6 +259,12 @@
         }
     }
 
+    @Override
+    public void destinationHealthRestored(double now, long destination, Health health) {
+        advanceClock(now);
+        destination(destination).health.restore(clock, health);
+    }
+
     @Override
     public void sendRateRestored(double now, long destination, long route, SendRate saved) {
         advanceClock(now);
@@ -352,13 +367,6 @@
         return destinations.computeIfAbsent(id, Destination::new);
     }
 
-    /** Removes the times that are older than {@code periodMs}. */
-    private void trim(Deque<Double> times, double periodMs) {
-        while (!times.isEmpty() && times.peek() < clock - periodMs) {
-            times.remove();
-        }
-    }
-
     private void advanceClock(double now) {
         if (now < clock) {
             throw new IllegalArgumentException("the time must not decrease");
@@ -460,7 +468,7 @@
                 && d.attempts.size() < settings.maxAttempts()
                 && mayRepeat(d, target)
                 && keys.isNext(d)
-                && (!d.lastRefused || d.inFlight > 0 || retries.allows())
+                && (!d.lastRefused || d.inFlight > 0 || retries.allows(clock))
                 && target.limit.delayedUntil <= clock
                 && clock + target.expectedDurationMs(d.type) <= shutdownAt;
     }
@@ -495,12 +503,11 @@
         queue.remove(d);
         keys.attemptSent(d);
         if (hedge) {
-            hedges.sent();
+            sentWithin(hedges);
         } else if (d.attempts.size() == 1) {
             firstSends.add(clock);
-            trim(firstSends, BUDGET_PERIOD_MS);
         } else if (d.lastRefused) {
-            retries.sent();
+            sentWithin(retries);
         }
         double timeoutMs = Math.min(target.timeoutMs(d.type), d.deadline - clock);
         actions.send(d.message.id(), target.entry.id(), new AttemptTiming(timeoutMs, latestWriteMs));
@@ -511,10 +518,16 @@
         timers.add(clock + Math.max(offset, target.overdueAfterMs()), call::checkOverdue);
     }
 
+    /** Counts an additional send, and wakes up when it has left the budget's period. */
+    private void sentWithin(SendBudget budget) {
+        budget.sent(clock);
+        timers.add(clock + SendBudget.PERIOD_MS + CLOCK_MARGIN_MS, () -> { });
+    }
+
     /** The hedge offset after a send has passed: a hedged attempt may join the wave. */
     private void hedgeDue(Delivery d, Attempt attempt) {
         boolean eligible = attempt.inFlight && d.type.repeatSafety() != RepeatSafety.UNSAFE;
-        if (eligible && !d.ended && slotsUsed < settings.slots() && hedges.allows()) {
+        if (eligible && !d.ended && slotsUsed < settings.slots() && hedges.allows(clock)) {
             chooseTarget(d, true).ifPresent(target -> send(d, target, true));
         }
     }
@@ -700,7 +713,7 @@
         final Target target;
         final double sentAt = clock;
         final long sentIteration = iteration;
-        final double idleMs;
+        final IdleConnections.Use connection;
         /** Its endpoint was down when it was sent: its result says nothing about other endpoints. */
         final boolean downProbe;
         /** Its destination was suspected when it was sent. */
@@ -712,7 +725,7 @@
 
         Call(Target target) {
             this.target = target;
-            this.idleMs = connections.idleMsOfNextCall(target);
+            this.connection = new IdleConnections.Use(target.destination.id, target.idleMsOfNextCall());
             this.downProbe = target.health.state() == State.DOWN;
             this.suspicionProbe = !downProbe && target.limit.outage.suspects();
             if (suspicionProbe) {
@@ -758,6 +771,7 @@
         final List<Target> targets = new ArrayList<>();
         final RateLimit shared = new RateLimit(this, ALL_ROUTES);
         final EventRate demand = new EventRate(clock);
+        final DestinationHealth health = new DestinationHealth(settings.coldStart().warmUpMs());
         int callsInFlight;
         /** The last iteration in which a message waited for it; whether it took calls and had a slot. */
         long seenIteration = -1;
@@ -779,6 +793,13 @@
                     t.serving && (t.canJoinCall() || t.limit.delayedUntil <= clock && t.isOpen()));
         }
 
+        /** Updates whether it is in an outage, or recovers from one, from the states of its endpoints. */
+        void updateHealth() {
+            if (health.update(clock, targets.stream().map(Target::known).toList())) {
+                actions.saveDestinationHealth(id, health.saved(clock));
+            }
+        }
+
         /** Returns whether a slot is free for a call to any of its endpoints. */
         boolean hasSlot() {
             return targets.stream().anyMatch(t -> t.serving && t.hasSlot());
@@ -850,7 +871,7 @@
             }
             sends.count(clock);
             sendsOfLastSecond.add(clock);
-            trim(sendsOfLastSecond, 1000);
+            sendsOfLastSecond.removeIf(at -> at < clock - 1000);
             if (rate < Double.POSITIVE_INFINITY) {
                 backlogSince = nextSendAt < clock - BACKLOG_GAP_MS ? clock : backlogSince;
                 nextSendAt = Math.max(nextSendAt, clock) + 1 / rate;
@@ -952,6 +973,21 @@
             this.fee = charged ? settings.zoneFees().get(entry.zone()) : 0;
         }
 
+        /** Takes over what the endpoint list says of it. */
+        void update(Endpoint listed) {
+            limit.listedRate = settings.ratesListed() ? listed.listedRate() / 1000 : 0;
+            if (listed.removed()) {
+                markRemoved();
+            } else {
+                serving = listed.serving();
+                removedAt = Double.POSITIVE_INFINITY;
+            }
+        }
+
+        DestinationHealth.KnownEndpoint known() {
+            return new DestinationHealth.KnownEndpoint(health, serving, savedRate, carriedPerMs());
+        }
+
         void markRemoved() {
             serving = false;
             removedAt = Math.min(removedAt, clock);
@@ -976,6 +1012,19 @@
                     + fee * FEE_COST_MS * freeShare;
         }
 
+        /** Returns how long the connection that a call now uses was idle: 0 for one in use, or a new one. */
+        double idleMsOfNextCall() {
+            double idle = !calls.isEmpty() ? 0 : clock - lastUsedAt;
+            boolean trusted = connections.isTrusted(clock, idle);
+            if (!connections.isIdle(idle)) {
+                return 0;
+            }
+            if (!trusted) {
+                actions.closeIdle(entry.id());
+            }
+            return trusted ? idle : 0;
+        }
+
         boolean canJoinCall() {
             return latest != null && latest.sentIteration == iteration && latest.messages < batchSize
                     && health.state() != State.DOWN;
@@ -1099,7 +1148,7 @@
                     failed(call);
                 }
                 default -> {
-                    connections.callLost(call);
+                    connections.callLost(clock, call.connection);
                     health.failed(clock);
                     // A call that had less time than a usual answer takes says nothing about its destination.
                     if (end.outcome() != AttemptOutcome.TIMED_OUT || end.tookMs() >= overdueAfterMs()) {
@@ -1111,7 +1160,7 @@
 
         private void delivered(Call call, AttemptEnd end) {
             boolean wasDown = health.state() == State.DOWN;
-            connections.callDelivered(call);
+            connections.callDelivered(call.connection, call.overdue);
             preemptedCalls = 0;
             deviation += LATENCY_WEIGHT * (Math.abs(end.tookMs() - latency) - deviation);
             latency += LATENCY_WEIGHT * (end.tookMs() - latency);
@@ -1148,7 +1197,7 @@
         }
 
         void callOverdue(Call call) {
-            connections.callLost(call);
+            connections.callLost(clock, call.connection);
             if (health.overdue(clock, call.sentAt) && !call.downProbe) {
                 limit.suspect(entry.id());
             }
@@ -1167,6 +1216,7 @@
             }
             reportChange(from, reason);
             save();
+            destination.updateHealth();
         }
 
         private void reportChange(State from, String reason) {
@@ -1174,9 +1224,12 @@
                     reason, limit.outage.undeliveredCalls()));
         }
 
+        private double carriedPerMs() {
+            return Math.max(limit.deliveryRate.perMsBeforeLast() / sharingEndpoints(), savedRate);
+        }
+
         private void save() {
-            double delivered = limit.deliveryRate.perMsBeforeLast() / sharingEndpoints();
-            actions.saveHealth(entry.id(), new Health(health.state(), clock, Math.max(delivered, savedRate)));
+            actions.saveHealth(entry.id(), new Health(health.state(), clock, carriedPerMs()));
         }
 
         /**
@@ -1189,79 +1242,27 @@
             health.restore(saved.state(), saved.since());
             savedRate = saved.carriedPerMs();
             if (health.state() != State.UP) {
-                nextSendAt = health.state() == State.DOWN ? clock + random.nextDouble() / probeRate()
-                        : clock + random.nextDouble() * (nextCallAt() - clock);
+                nextSendAt = firstCallAt();
                 reportChange(State.UP, "was " + health.state() + " before the restart");
             }
         }
-    }
-
-    /**
-     * Decides which idle connections are trusted. Guards against connections that are dropped unnoticed:
-     * after losses on idle ones at two destinations, connections idle for nearly as long are closed before
-     * the next call, until a call over one idle as long is delivered. This works whatever drops them; it
-     * costs new connections where calls are lost for another reason.
-     */
-    private final class Connections {
-        private Optional<Call> lostCall = Optional.empty();
-        private double lostAt = Double.NEGATIVE_INFINITY;
-        private boolean certain;
-
-        /** Returns how long the connection that a call now uses was idle: 0 for one in use, or a new one. */
-        double idleMsOfNextCall(Target target) {
-            double idle = !target.calls.isEmpty() ? 0 : clock - target.lastUsedAt;
-            if (clock > lostAt + TRUST_RESET_MS) {
-                lostCall = Optional.empty();
-                certain = false;
-            }
-            if (idle < MIN_IDLE_MS || idle >= settings.keepAliveMs()) {
-                return 0;
-            }
-            if (certain && lostCall.filter(s -> idle > s.idleMs * TRUSTED_IDLE_SHARE).isPresent()) {
-                actions.closeIdle(target.entry.id());
-                return 0;
-            }
-            return idle;
-        }
 
-        void callLost(Call call) {
-            if (call.idleMs > 0) {
-                certain |= lostCall.filter(s -> s.target.destination != call.target.destination).isPresent();
-                lostCall = lostCall.filter(s -> s.idleMs < call.idleMs).or(() -> Optional.of(call));
-                lostAt = clock;
-            }
-        }
-
-        void callDelivered(Call call) {
-            lostCall = lostCall.filter(s -> s != call && (call.overdue || call.idleMs < s.idleMs));
-            certain &= lostCall.isPresent();
-        }
-    }
-
-    /**
-     * Bounds additional sends over all destinations by a share of first sends: hedged attempts, because a
-     * slow destination would get twice the load, and retries, because refused calls may use up a limit for
-     * good.
-     */
-    private final class SendBudget {
-        private final double base;
-        private final double share;
-        private final Deque<Double> extra = new ArrayDeque<>();
-
-        SendBudget(double base, double share) {
-            this.base = base;
-            this.share = share;
-        }
-
-        void sent() {
-            extra.add(clock);
-            timers.add(clock + BUDGET_PERIOD_MS + CLOCK_MARGIN_MS, () -> trim(extra, BUDGET_PERIOD_MS));
+        /**
+         * Continues an outage of its destination, or the recovery from it. Guards against a backlog that is
+         * sent at once to a machine that replaces the one that failed, and is listed under another id.
+         */
+        void continueOutage(DestinationHealth.Outage outage) {
+            health.continueFrom(outage.health(), clock);
+            savedRate = Math.max(savedRate, outage.savedRate());
+            nextSendAt = firstCallAt();
+            reportChange(State.UP, "is new at a destination that is " + health.state());
+            save();
         }
 
-        boolean allows() {
-            trim(extra, BUDGET_PERIOD_MS);
-            trim(firstSends, BUDGET_PERIOD_MS);
-            return extra.size() + 1 <= base + share * firstSends.size();
+        /** Returns a random time for the first call, so that the senders of a fleet do not call at once. */
+        private double firstCallAt() {
+            return health.state() == State.DOWN ? clock + random.nextDouble() / probeRate()
+                    : clock + random.nextDouble() * (nextCallAt() - clock);
         }
     }
 
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import slipfield.config.Config;
 import slipfield.journal.AnswerRecipient;
+import slipfield.journal.Journal;
 import slipfield.journal.PendingMessage;
 import slipfield.journal.ProcessClock;
 import slipfield.journal.PendingAnswer;
@@ -283,6 +284,28 @@
         assertTrue(afterMs >= DELAY_MS - 1, "an attempt began " + afterMs + " ms after the delay was requested");
     }
 
+    /** Guards against a process that starts in an outage, and sends all it has to an endpoint with a new id (review, case 10). */
+    @Test
+    void anOutageHoldsForAnEndpointThatReplacesTheFailedOneDuringARestart() throws Exception {
+        assertEquals("accepted", submit("failed", "order", AnswerRecipient.PLATFORM));
+        end(DeliveryPolicy.AttemptOutcome.UNREACHABLE);
+        sender.kill();
+        try (Journal journal = new Journal(folder.resolve("state"), 3 << 20, 4)) {
+            assertEquals(DeliveryPolicy.State.DOWN, journal.destinationHealth().get(7L).state());
+            // A message with a failed attempt would limit the calls too.
+            journal.recordWithdrawn(journal.pendingMessages().get(0));
+        }
+        world.running.clear();
+        world.names = List.of("replacement");
+        start();
+        for (String id : List.of("one", "two", "three")) {
+            assertEquals("accepted", submit(id, "order", AnswerRecipient.PLATFORM));
+        }
+        Stub.await("a probe", () -> !world.running.isEmpty());
+        onLoop(() -> null);
+        assertEquals(1, world.running.size(), "calls at once to an endpoint that may be cold");
+    }
+
     /** A frontend with one connection whose request has been read; {@link #finish} answers it 50 ms later. */
     private final class UnansweredRequest implements Frontend {
         private final EventLoop loop = sender.loop();
--- a/src/test/java/slipfield/journal/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -174,6 +174,28 @@
         }
     }
 
+    @Test
+    void healthOfADestinationSurvivesRestartsAndCompactionsUntilItIsInService() throws Exception {
+        Journal.Health down = new Journal.Health(DeliveryPolicy.State.DOWN, 100, 0.5);
+        Journal.Health up = new Journal.Health(DeliveryPolicy.State.UP, 300, 0.25);
+        try (Journal journal = open()) {
+            journal.recordAccepted(message(journal, 10));
+            journal.recordDestinationHealth(0, down);
+            journal.recordDestinationHealth(Long.MAX_VALUE, down);
+            journal.recordDestinationHealth(8, down);
+            journal.recordDestinationHealth(8, up);
+            for (long written = 0; written < 2 * DISK_BYTES; written += 50) {
+                journal.recordDestinationHealth(9, down);
+            }
+            assertTrue(journal.size() < DISK_BYTES);
+        }
+        try (Journal journal = open()) {
+            assertEquals(Map.of(0L, down, 9L, down, Long.MAX_VALUE, down), journal.destinationHealth());
+            assertEquals(1, journal.pendingMessages().size());
+            assertEquals(1, journal.nextNumber(), "a destination is no message's number");
+        }
+    }
+
     @Test
     void dropsATornTailAndOverwritesIt() throws Exception {
         try (Journal journal = open()) {
--- a/src/test/java/slipfield/policy/PolicyHarness.java
+++ b/src/test/java/slipfield/policy/PolicyHarness.java
@@ -36,6 +36,7 @@
     final List<String> answers = new ArrayList<>();
     final List<Double> wakes = new ArrayList<>();
     final Map<Long, DeliveryPolicy.Health> health = new HashMap<>();
+    final Map<Long, DeliveryPolicy.Health> destinationHealth = new HashMap<>();
     final List<DeliveryPolicy.SendRate> savedRates = new ArrayList<>();
     final List<Double> refusalDelays = new ArrayList<>();
     final DeliveryPolicy policy;
@@ -306,6 +307,11 @@
         health.put(endpoint, now);
     }
 
+    @Override
+    public void saveDestinationHealth(long destination, DeliveryPolicy.Health now) {
+        destinationHealth.put(destination, now);
+    }
+
     @Override
     public void log(String text) {
         assertFalse(text.isBlank());
