AMQP: what is known of a message-id is asked before anything is refused

Cause: PublisherFrontend refused for the end of the sender, for a route that does not fit and for wrong properties before it asked whether the message-id is known. All three said "did not run" of orders that were delivered, are held, or have their attempt out.

Evidence: PublisherFrontendTest.aKnownMessageIsNotRefusedForItsRouteOrItsProperties (312 and 406 in place of ack, failed and silence) and AmqpTest.aSenderThatEndsTellsWhatBecameOfAMessageThatIsPublishedAgain (320 in place of ack) failed before. Read and found in order: the HTTP front, and the refusals for room, for a destination without endpoints and for a sender that is not ready.

Fix: the question comes first for every publication with a message-id; an unknown id only can be refused.

--- a/src/main/java/slipfield/front/amqp/PublisherFrontend.java
+++ b/src/main/java/slipfield/front/amqp/PublisherFrontend.java
@@ -107,6 +107,10 @@
 
     @Override
     public void published(Publisher from, Publication p) {
+        // First of all: whatever speaks against it now, a message that may have run must not be refused.
+        if (answerDuplicate(from, p)) {
+            return;
+        }
         Optional<RoutingTable.Target> target = routes.resolve(p.exchange(), p.routingKey());
         if (closing && !keepsRefused(p)) {
             refuse(from, p, ReplyCode.CONNECTION_FORCED, "the sender ends; publish again, there or elsewhere", 0);
@@ -114,30 +118,42 @@
             refuse(from, p, ReplyCode.NO_ROUTE, "no route of '" + p.exchange() + "' fits '" + p.routingKey() + "'", 0);
         } else {
             try {
-                submit(from, p, reader.read(p, target.get(), from.peer() + "-" + ++generatedIds,
-                        new AnswerRecipient(NAME, from.peer(), true, false)));
+                submit(from, p, reader.read(p, target.get(), from.peer() + "-" + ++generatedIds, recipient(from)));
             } catch (BadInput bad) {
                 refuse(from, p, ReplyCode.PRECONDITION_FAILED, bad.getMessage(), 0);
             }
         }
     }
 
-    private void submit(Publisher from, Publication p, MessageIntake.Submission submission) {
-        String id = submission.id();
+    private static AnswerRecipient recipient(Publisher from) {
+        return new AnswerRecipient(NAME, from.peer(), true, false);
+    }
+
+    /** Answers a publication whose message-id is known, or lets it wait for the final answer; false if the id is not known. */
+    private boolean answerDuplicate(Publisher from, Publication p) {
+        String id = SubmissionReader.messageId(p);
+        if (id.isBlank()) {
+            return false;
+        }
         if (accepted.stream().anyMatch(t -> t.message.id.equals(id))) {
             // The duplicate check below must not report an id as pending before it is in the journal.
             batchEnded();
         }
-        Optional<MessageIntake.DuplicateState> before = intake.checkDuplicate(id, submission.recipients().get(0));
-        if (before.isPresent()) {
-            switch (before.get()) {
-                case PENDING -> await(from, p, id);
-                case DELIVERED -> confirm(from, p, true);
-                case UNDELIVERED -> fail(from, p, "this message-id was refused or failed a moment ago");
-                default -> throw new IllegalStateException();
-            }
-            return;
+        Optional<MessageIntake.DuplicateState> before = intake.checkDuplicate(id, recipient(from));
+        if (before.isEmpty()) {
+            return false;
         }
+        switch (before.get()) {
+            case PENDING -> await(from, p, id);
+            case DELIVERED -> confirm(from, p, true);
+            case UNDELIVERED -> fail(from, p, "this message-id was refused or failed a moment ago");
+            default -> throw new IllegalStateException();
+        }
+        return true;
+    }
+
+    private void submit(Publisher from, Publication p, MessageIntake.Submission submission) {
+        String id = submission.id();
         if (RedeliveryRule.mayHaveRun(p.origin(), intake.safeToRepeat(submission.messageClass()))) {
             Log.warn("amqp.redelivery_failed", "message", id, "class", submission.messageClass());
             fail(from, p, "delivered before, and it may have run then");
--- a/src/main/java/slipfield/front/amqp/SubmissionReader.java
+++ b/src/main/java/slipfield/front/amqp/SubmissionReader.java
@@ -33,7 +33,7 @@
         if (!user.isEmpty() && !user.equals(p.user().name())) {
             throw new BadInput("user-id is another than the connection's user; leave it out");
         }
-        String id = properties.text(Property.MESSAGE_ID);
+        String id = messageId(p);
         Optional<String> key = header(properties, KEY_HEADER).or(() -> Optional.of(properties.text(Property.CORRELATION_ID)))
                 .filter(k -> !k.isBlank());
         if (key.isEmpty() && intake.needsKey(target.messageClass())) {
@@ -52,6 +52,11 @@
                 target.destination(), budgetMs(properties.text(Property.EXPIRATION)), p.body(), List.of(recipient));
     }
 
+    /** The id under which the message can be published again; blank if it has none. */
+    static String messageId(Publication p) {
+        return p.properties().text(Property.MESSAGE_ID);
+    }
+
     private static Optional<String> header(Properties properties, String name) {
         return Optional.ofNullable(properties.headers().get(name)).map(Object::toString);
     }
--- a/src/test/java/slipfield/daemon/AmqpTest.java
+++ b/src/test/java/slipfield/daemon/AmqpTest.java
@@ -376,6 +376,35 @@
         drain.join();
     }
 
+    /** Guards against a refusal of a message that has run, or is in flight, because the sender is ending (review, case 6). */
+    @Test
+    void aSenderThatEndsTellsWhatBecameOfAMessageThatIsPublishedAgain() throws Exception {
+        fixture = new AmqpFixture(folder).start();
+        BlockingQueue<Delivery> seen = consumer(channel("broker"), "c", 10);
+        Channel publisher = publisher();
+        publish(publisher, "once.7", "delivered");
+        Delivery first = next(seen);
+        first.channel.basicAck(first.envelope.getDeliveryTag(), false);
+        assertEquals("ack 1", next());
+        publish(publisher, "once.7", "in flight");
+        Delivery out = next(seen);
+        Thread drain = new Thread(fixture.daemon::drain);
+        drain.start();
+        Connection idle = fixture.connect("desk");
+        connections.add(idle);
+        Stub.await("the front closes", () -> !idle.isOpen());
+        publish(publisher, "once.7", "delivered");
+        assertEquals("ack 3", next());
+        publish(publisher, "once.7", "in flight");
+        publish(publisher, "once.7", "new");
+        assertEquals("return 320 refused new", next());
+        assertEquals("nack 5", next());
+        out.channel.basicAck(out.envelope.getDeliveryTag(), false);
+        assertEquals(Set.of("ack 2", "ack 4"), Set.of(next(), next()));
+        assertTrue(seen.isEmpty(), "a message was delivered twice");
+        drain.join();
+    }
+
     /** Users log in over TLS with name and secret, or with a certificate instead of a secret. */
     @Test
     void logsInByCertificate() throws Exception {
--- a/src/test/java/slipfield/front/amqp/PublisherFrontendTest.java
+++ b/src/test/java/slipfield/front/amqp/PublisherFrontendTest.java
@@ -224,6 +224,28 @@
         assertEquals(List.of("a3 ack", "a4 541 failed", "a4 nack"), takeSent());
     }
 
+    /** Guards against a refusal, which promises that nothing ran, for a message that has run or may run (review, case 6). */
+    @Test
+    void aKnownMessageIsNotRefusedForItsRouteOrItsProperties() {
+        FakeChannel a = new FakeChannel("a");
+        known.put("m1", MessageIntake.DuplicateState.DELIVERED);
+        known.put("m2", MessageIntake.DuplicateState.PENDING);
+        known.put("m3", MessageIntake.DuplicateState.UNDELIVERED);
+        for (int i = 1; i <= 3; i++) {
+            Properties properties = Properties.NONE.with(Properties.Property.MESSAGE_ID, "m" + i);
+            publish(a, 2 * i, "nowhere", properties);
+            publish(a, 2 * i + 1, "x", properties.with(Properties.Property.EXPIRATION, "soon"));
+        }
+        assertEquals(List.of("a2 ack", "a3 ack", "a6 541 failed", "a6 nack", "a7 541 failed", "a7 nack"), takeSent());
+        publish(a, 8, "nowhere", Properties.NONE);
+        assertEquals(List.of("a8 312 refused", "a8 nack"), takeSent(), "of a message without an id nothing is known");
+    }
+
+    private void publish(FakeChannel from, long tag, String exchange, Properties properties) {
+        front.published(from, new Publication(tag, new AmqpConfig.User("u", Optional.empty(), "", Set.of(), Set.of()), exchange, "k",
+                properties, new byte[0], RedeliveryRule.Origin.PUBLISHED));
+    }
+
     /** Found by a review: it may have run at the sender to which the broker gave it first. */
     @Test
     void aRedeliveredMessageOfAnUnknownIdRunsOnlyIfItIsSafeToRepeat() {
