--- a/src/main/java/slipfield/cli/JournalCommand.java
+++ b/src/main/java/slipfield/cli/JournalCommand.java
@@ -58,7 +58,7 @@
             }
             out.printf("    %s%n", owed(held));
         }
-        out.printf("%d held; %d ids that are over%n", journal.pendingMessages().size(), journal.completedIds().size());
+        out.printf("%d held; %d ids that are over%n", journal.pendingMessages().size(), journal.completedCount());
         out.flush();
         return 0;
     }
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -140,7 +140,7 @@
      */
     public List<InetSocketAddress> start() throws IOException {
         Journal opened = Retry.within(Retry.START_MS, "journal", () -> new Journal(config.state(), config.diskBytes(),
-                config.settings().maxAttempts(), clock.reference(), FileChannel::open));
+                config.settings().maxAttempts(), components.rememberedIds(), clock.reference(), FileChannel::open));
         loop.submit(() -> open(opened)).syncUninterruptibly();
         try {
             overdueAnswersSent.await();
@@ -160,7 +160,11 @@
         journal = opened;
         durability = new Durability(loop, journal, this::mayResend, new JournalListener());
         durability.check();
-        endedIds = new EndedIds(components.rememberedIds());
+        endedIds = new EndedIds(components.rememberedIds(), journal.hashedIds());
+        if (journal.keptIds() < components.rememberedIds()) {
+            Log.warn("journal.ids_limited", "known_ids", components.rememberedIds(), "after_restart", journal.keptIds(),
+                    "mend", "raise limits.disk_mb, or lower known_ids");
+        }
         transport = components.transport(loop, new AttemptEnds());
         transport.start();
         answerChannels = components.answerChannels(loop, this::acknowledged);
@@ -193,7 +197,9 @@
         List<PendingMessage> messages = journal.pendingMessages();
         for (PendingMessage h : messages) {
             h.acceptanceReported = true;
-            if (!h.finished) {
+            if (h.finished) {
+                endedIds.add(h.id, h.wasDelivered());
+            } else {
                 pendingByNumber.put(h.number, h);
                 pendingById.put(h.id, h);
                 admission.messageAdded(now, h.destination);
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -30,6 +30,7 @@
  * the current state, with the records that its messages may still need, takes up half the bound.
  */
 public final class Journal implements AutoCloseable {
+    private static final int DEFAULT_KNOWN_IDS = 4096;
     /** Disk usage counts whole blocks of 512 bytes: up to one more for each of the two files, and one in reserve. */
     private static final int BLOCK_RESERVE = 3 * 512;
 
@@ -68,19 +69,25 @@
         this(folder, diskBytes, maxAttempts, ProcessClock.system().reference(), FileChannel::open);
     }
 
+    public Journal(Path folder, long diskBytes, int maxAttempts, ProcessClock.Reference clock, Opener opener) throws IOException {
+        this(folder, diskBytes, maxAttempts, DEFAULT_KNOWN_IDS, clock, opener);
+    }
+
     /**
      * Reads the folder's journal, or creates it. Times that earlier processes wrote are converted to this process's clock.
      *
      * @param diskBytes greatest size of the folder in bytes
+     * @param knownIds how many ids of completed messages are kept, if the folder's size allows it; see {@link #keptIds}
      * @throws IOException if the file can't be opened, read or truncated
      */
-    public Journal(Path folder, long diskBytes, int maxAttempts, ProcessClock.Reference clock, Opener opener) throws IOException {
+    public Journal(Path folder, long diskBytes, int maxAttempts, int knownIds, ProcessClock.Reference clock, Opener opener)
+            throws IOException {
         this.opener = opener;
         this.clock = clock;
         this.file = folder.resolve("journal");
         this.next = folder.resolve("journal.next");
         this.bound = diskBytes - BLOCK_RESERVE;
-        this.state = new JournalState(bound, maxAttempts);
+        this.state = new JournalState(bound, maxAttempts, knownIds);
         // The file of a compaction that an earlier process did not finish still takes up room.
         Files.deleteIfExists(next);
         channel = opener.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -112,7 +119,7 @@
         file = null;
         next = null;
         bound = Long.MAX_VALUE;
-        state = new JournalState(bound, 0);
+        state = new JournalState(bound, 0, Integer.MAX_VALUE);
         Replay replay = new Replay(state, Optional.empty());
         replayed = replay.read(bytes);
         size = replay.end();
@@ -198,14 +205,10 @@
     /** Records that nobody has to receive an answer to the message any more; its id is kept for a while. */
     public void recordCompleted(PendingMessage message) throws IOException {
         // First, because writing the record may compact the file: the message itself is not in the new file, so its id has to be.
-        state.completed(message.id, isDelivered(message));
+        state.completed(message.id, message.wasDelivered());
         remove(message, RecordFormat.COMPLETED);
     }
 
-    static boolean isDelivered(PendingMessage message) {
-        return message.pendingNotice.isEmpty() || message.pendingNotice.get().answer() == PendingMessage.FinalAnswer.DELIVERED;
-    }
-
     /** Records that the client was never told of the message's acceptance; its id is forgotten. */
     public void recordWithdrawn(PendingMessage message) throws IOException {
         remove(message, RecordFormat.WITHDRAWN);
@@ -217,7 +220,17 @@
         }
     }
 
-    /** Ids of messages that were completed when the last process ended, the oldest first; true where delivered. */
+    /** The number of completed messages whose ids are kept at least, if so many were completed. */
+    public int keptIds() {
+        return state.hashes.capacity();
+    }
+
+    /** Messages that were completed when the last process ended, before those of {@link #completedIds}. */
+    public HashedIds hashedIds() {
+        return new HashedIds(state.hashes.toArray());
+    }
+
+    /** Ids of messages that were completed last when the last process ended, the oldest first; true where delivered. */
     public Map<String, Boolean> completedIds() {
         return new LinkedHashMap<>(state.completed);
     }
--- a/src/main/java/slipfield/journal/JournalReader.java
+++ b/src/main/java/slipfield/journal/JournalReader.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 
 /** Reads a journal file for display, as a sender reads it at its start; never changes the file. */
 public final class JournalReader {
@@ -20,9 +19,9 @@
         return journal.pendingMessages();
     }
 
-    /** Ids of completed messages, the oldest first; true where delivered. */
-    public Map<String, Boolean> completedIds() {
-        return journal.completedIds();
+    /** The number of completed messages whose ids are kept, as text or as a hash. */
+    public int completedCount() {
+        return journal.completedIds().size() + journal.hashedIds().size();
     }
 
     /** Size of the file in bytes. */
--- a/src/main/java/slipfield/journal/JournalState.java
+++ b/src/main/java/slipfield/journal/JournalState.java
@@ -9,14 +9,17 @@
 
 /**
  * The state that a journal's records describe, and the size in bytes of a compacted file with the same state: pending messages,
- * ids of completed ones, the health of endpoints and send rates. No I/O.
+ * ids of completed ones (the newest as text, older ones as hashes), the health of endpoints and send rates. No I/O.
  */
 final class JournalState {
     /** Bytes reserved for the later records of a message: for each attempt, and for its final answer. */
     static final int ATTEMPT_BYTES = 128;
     private static final int ANSWER_BYTES = 64;
-    /** Completed ids take up 1/32 of the bound at the most. */
+    /** The text of completed ids takes up 1/32 of the bound at the most, hashes of older ones 1/5. */
     private static final int COMPLETED_DIVISOR = 32;
+    private static final int HASHES_DIVISOR = 5;
+    /** Upper bound of the bytes that a hash takes up, with its share of the record that it is in. */
+    private static final int HASH_BYTES = Long.BYTES + 1;
 
     final Map<Long, PendingMessage> pending = new TreeMap<>();
     /** The last known health of endpoints that are not in service. */
@@ -26,14 +29,22 @@
     final Map<Journal.SendRateKey, DeliveryPolicy.SendRate> sendRates = new LinkedHashMap<>();
     /** Ids of completed messages, the newest last, and whether they were delivered. */
     final Map<String, Boolean> completed = new LinkedHashMap<>();
+    /** Completed messages whose ids are not kept as text any more. */
+    final IdHashQueue hashes;
     private final long maxCompletedBytes;
     private final long reservedPerMessage;
     private long completedBytes;
     private long bytes;
     private long nextNumber;
 
-    /** {@code bound}: greatest size of the folder in bytes. */
-    JournalState(long bound, int maxAttempts) {
+    /**
+     * Creates an empty state.
+     *
+     * @param bound greatest size of the folder in bytes
+     * @param knownIds how many ids of completed messages are kept, if there is room for them
+     */
+    JournalState(long bound, int maxAttempts, int knownIds) {
+        this.hashes = new IdHashQueue((int) Math.max(1, Math.min(knownIds, bound / HASHES_DIVISOR / HASH_BYTES)));
         this.maxCompletedBytes = bound / COMPLETED_DIVISOR;
         this.reservedPerMessage = (long) maxAttempts * ATTEMPT_BYTES + ANSWER_BYTES;
     }
@@ -73,18 +84,27 @@
         return was;
     }
 
-    /** Adds the id of a completed message; the oldest ids are dropped where they take up too much. */
+    /** Adds the id of a completed message; of the oldest ones only hashes are kept where they take up too much. */
     void completed(String id, boolean delivered) {
         if (completed.put(id, delivered) == null) {
             countCompleted(completedIdBytes(id));
         }
-        Iterator<String> eldest = completed.keySet().iterator();
+        Iterator<Map.Entry<String, Boolean>> eldest = completed.entrySet().iterator();
         while (completedBytes > maxCompletedBytes) {
-            countCompleted(-completedIdBytes(eldest.next()));
+            Map.Entry<String, Boolean> oldest = eldest.next();
+            countCompleted(-completedIdBytes(oldest.getKey()));
+            hashed(IdHash.entry(oldest.getKey(), oldest.getValue()));
             eldest.remove();
         }
     }
 
+    /** Adds a completed message by an entry of {@link IdHash}; the oldest entry is dropped if there are too many. */
+    void hashed(long entry) {
+        int before = hashes.size();
+        hashes.add(entry);
+        bytes += (long) (hashes.size() - before) * HASH_BYTES;
+    }
+
     private void countCompleted(int length) {
         completedBytes += length;
         bytes += length;
@@ -131,6 +151,7 @@
         health.forEach((endpoint, known) -> all.writeBytes(RecordFormat.health(endpoint, known)));
         destinationHealth.forEach((destination, known) -> all.writeBytes(RecordFormat.destinationHealth(destination, known)));
         sendRates.forEach((key, known) -> all.writeBytes(RecordFormat.sendRate(key, known)));
+        RecordFormat.hashedIds(hashes.toArray()).forEach(all::writeBytes);
         completed.forEach((id, delivered) -> all.writeBytes(RecordFormat.completedId(id, delivered)));
         for (PendingMessage message : pending.values()) {
             all.writeBytes(RecordFormat.accepted(message));
--- a/src/main/java/slipfield/journal/PendingMessage.java
+++ b/src/main/java/slipfield/journal/PendingMessage.java
@@ -80,4 +80,8 @@
             long deadlineMs, byte[] body) {
         this(number, id, messageClass, tenant, key, destination, deadlineMs, body, AnswerRecipient.PLATFORM);
     }
+    /** Whether a finished message was delivered. */
+    public boolean wasDelivered() {
+        return pendingNotice.isEmpty() || pendingNotice.get().answer() == FinalAnswer.DELIVERED;
+    }
 }
--- a/src/main/java/slipfield/journal/RecordFormat.java
+++ b/src/main/java/slipfield/journal/RecordFormat.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.zip.CRC32;
 import slipfield.policy.DeliveryPolicy;
@@ -38,6 +40,10 @@
     static final int DELIVERED = 13;
     /** The health of a destination as a whole. */
     static final int DESTINATION_HEALTH = 14;
+    /** Completed messages by hashes of their ids, in a compacted file. */
+    static final int HASHED_IDS = 15;
+    /** A damaged record loses its ids, and a larger one takes longer to be corrected. */
+    private static final int HASHES_PER_RECORD = 4096;
     /** The number in records of types that older versions do not know: no message has it, so that they ignore these records. */
     private static final long NO_MESSAGE = -1;
     /** Bytes of the length and the checksum. */
@@ -213,6 +219,23 @@
         });
     }
 
+    /** The entries of {@link IdHash} in as many records as they need, in their order. */
+    static List<byte[]> hashedIds(long[] entries) {
+        List<byte[]> records = new ArrayList<>();
+        for (int from = 0; from < entries.length; from += HASHES_PER_RECORD) {
+            long[] part = Arrays.copyOfRange(entries, from, Math.min(entries.length, from + HASHES_PER_RECORD));
+            records.add(record(out -> {
+                out.writeByte(HASHED_IDS);
+                out.writeLong(NO_MESSAGE);
+                out.writeInt(part.length);
+                for (long entry : part) {
+                    out.writeLong(entry);
+                }
+            }));
+        }
+        return records;
+    }
+
     static byte[] clock(ProcessClock.Reference clock) {
         return record(out -> {
             out.writeByte(CLOCK);
--- a/src/main/java/slipfield/journal/Replay.java
+++ b/src/main/java/slipfield/journal/Replay.java
@@ -107,6 +107,12 @@
                 state.completed(in.readUTF(), in.readBoolean());
                 return;
             }
+            case RecordFormat.HASHED_IDS -> {
+                for (int left = in.readInt(); left > 0; left--) {
+                    state.hashed(in.readLong());
+                }
+                return;
+            }
             case RecordFormat.CLOCK -> {
                 ProcessClock.Reference written = new ProcessClock.Reference(number, in.readLong(), in.readLong());
                 shiftMs = clock.isEmpty() ? 0 : written.shiftTo(clock.get());
@@ -161,7 +167,7 @@
             case RecordFormat.COMPLETED, RecordFormat.WITHDRAWN -> {
                 state.remove(message);
                 if (type == RecordFormat.COMPLETED) {
-                    state.completed(message.id, Journal.isDelivered(message));
+                    state.completed(message.id, message.wasDelivered());
                 }
                 return;
             }
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -284,6 +284,41 @@
         assertTrue(afterMs >= DELAY_MS - 1, "an attempt began " + afterMs + " ms after the delay was requested");
     }
 
+    /** Guards against a message that runs again after a restart, since its final answer was still pending then. */
+    @Test
+    void aDeliveryThatNobodyHasAcknowledgedIsKnownAfterARestart() throws Exception {
+        world.acknowledging.remove("queue");
+        assertEquals("accepted", submit("delivered", "once", KEPT));
+        end(DeliveryPolicy.AttemptOutcome.DELIVERED);
+        assertEquals("accepted", submit("failed", "once", KEPT));
+        end(DeliveryPolicy.AttemptOutcome.ERROR);
+        Stub.await("both have ended", () -> "DELIVERED".equals(submit("delivered", "once", KEPT))
+                && "UNDELIVERED".equals(submit("failed", "once", KEPT)));
+        restart();
+        assertEquals("DELIVERED", submit("delivered", "once", KEPT));
+        assertEquals("UNDELIVERED", submit("failed", "once", KEPT));
+    }
+
+    /** Guards against a message that runs again after a restart, since its id was not among the newest (review, case 7). */
+    @Test
+    void theSameNumberOfIdsIsKnownAfterARestartAsBefore() throws Exception {
+        sender.kill();
+        int known = world.rememberedIds();
+        try (Journal journal = new Journal(folder.resolve("state"), 3_000_000, 4)) {
+            for (int i = 0; i < known; i++) {
+                PendingMessage message = new PendingMessage(journal.nextNumber(), "id-" + i, "once", "acme", Optional.empty(), 7,
+                        Long.MAX_VALUE, new byte[1]);
+                journal.recordAccepted(message);
+                journal.recordCompleted(message);
+            }
+        }
+        world.running.clear();
+        start();
+        assertEquals("DELIVERED", submit("id-0", "once", KEPT));
+        assertEquals("DELIVERED", submit("id-" + (known - 1), "once", KEPT));
+        assertEquals("accepted", submit("id-" + known, "once", KEPT));
+    }
+
     /** Guards against a process that starts in an outage, and sends all it has to an endpoint with a new id (review, case 10). */
     @Test
     void anOutageHoldsForAnEndpointThatReplacesTheFailedOneDuringARestart() throws Exception {
--- a/src/test/java/slipfield/journal/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -435,6 +435,54 @@
         }
     }
 
+    /** Guards against a duplicate that is accepted after a restart, since the journal knew fewer ids than the process (review, case 7). */
+    @Test
+    void asManyCompletedIdsAsAskedForSurviveRestartsAndCompactions() throws Exception {
+        int known = 2000;
+        for (int life = 0; life < 2; life++) {
+            try (Journal journal = openWithIds(known)) {
+                assertEquals(known, journal.keptIds());
+                for (int i = 0; i < 1500; i++) {
+                    PendingMessage m = message(journal, 100);
+                    journal.recordAccepted(m);
+                    if (m.number % 2 == 0) {
+                        journal.recordAnswer(m, new PendingMessage.Notice(PendingMessage.FinalAnswer.FAILED, 0));
+                    }
+                    journal.recordCompleted(m);
+                    assertTrue(journal.size() < DISK_BYTES);
+                }
+            }
+        }
+        try (Journal journal = openWithIds(known)) {
+            HashedIds hashed = journal.hashedIds();
+            for (int i = 3000 - known; i < 3000; i++) {
+                String id = "id-" + i;
+                assertEquals(Optional.of(i % 2 != 0), Optional.ofNullable(journal.completedIds().get(id)).or(() ->
+                        hashed.delivered(id)), id);
+            }
+            assertEquals(Optional.empty(), hashed.delivered("id-3000"));
+            assertEquals(known, hashed.size());
+            assertEquals(3000, journal.nextNumber());
+        }
+        try (Journal journal = openWithIds(Integer.MAX_VALUE)) {
+            assertTrue(journal.keptIds() > known && journal.keptIds() < DISK_BYTES / 8, "no more than there is room for");
+        }
+    }
+
+    private Journal openWithIds(int known) throws IOException {
+        return new Journal(folder, DISK_BYTES, 12, known, ProcessClock.system().reference(), FileChannel::open);
+    }
+
+    /** The example of the paper on SipHash, appendix A. */
+    @Test
+    void idsAreHashedWithSipHash() {
+        byte[] message = new byte[15];
+        for (byte i = 0; i < message.length; i++) {
+            message[i] = i;
+        }
+        assertEquals(0xa129ca6149be45e5L, IdHash.sipHash(message));
+    }
+
     /** A disk that accepts {@code room} more bytes and then fails in the middle of a write, and to truncate if so set. */
     private static final class SmallDisk {
         private long room = Long.MAX_VALUE;
