An attempt that waits to begin does not count as made when the process is killed

Cause: an attempt was recorded when it was decided, and one without an end counts as one that may have run. So the wait for a connection, or for the capacity of an AMQP consumer, counted as a call.

Evidence: with the waits not recorded SenderPortsTest.anAttemptThatWaitsForItsConnectionAtAKillIsMadeByTheNextProcess and AmqpTest.aMessageThatWaitsForItsConsumerAtAKillIsDeliveredByTheNextProcess fail, as on the code before; with the begins not recorded SenderPortsTest.anAttemptThatHasBegunAfterItsConnectionIsNotMadeAgain fails. Ruled out: a record at the connection only (the records number the attempts), and "never ran" at first (an older build would not know the record that takes it back).

Fix: the attempt is recorded as before; one that has not begun when the calls of a turn have been started is recorded as waiting, and that it begins is written before its first byte, or it does not begin.

Compatible: older journals are read as before; the build before reads new ones as sound, and counts each attempt as one that may have run.

--- a/src/main/java/slipfield/cli/JournalCommand.java
+++ b/src/main/java/slipfield/cli/JournalCommand.java
@@ -54,7 +54,7 @@
                     held.tenant, held.destination, held.body.length, Instant.ofEpochMilli(held.deadlineMs));
             for (PendingMessage.Attempt attempt : held.attempts) {
                 out.printf("    attempt at %s, %s: %s%n", attempt.endpoint.isEmpty() ? "?" : attempt.endpoint,
-                        Instant.ofEpochMilli(attempt.sentAtMs), attempt.neverRan ? "never ran" : "may have run");
+                        Instant.ofEpochMilli(attempt.sentAtMs), attempt.mayHaveRun() ? "may have run" : "never ran");
             }
             out.printf("    %s%n", owed(held));
         }
--- a/src/main/java/slipfield/core/Recovery.java
+++ b/src/main/java/slipfield/core/Recovery.java
@@ -108,7 +108,7 @@
 
     private static long leftMs(PendingMessage message, long now) {
         return RecoveryPlan.remainingMs(message.deadlineMs - now, message.reserveMs,
-                message.attempts.stream().allMatch(a -> a.neverRan));
+                !message.mayHaveRun());
     }
 
     private void step() {
--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -239,7 +239,7 @@
             for (PendingMessage.Attempt a : message.attempts) {
                 // If the wall clock was set back, an attempt must not seem to start in the future.
                 double sentAt = now - Math.max(0, wall - a.sentAtMs);
-                earlier.add(new DeliveryPolicy.PreviousAttempt(endpointNumber(a.endpoint), sentAt, !a.neverRan));
+                earlier.add(new DeliveryPolicy.PreviousAttempt(endpointNumber(a.endpoint), sentAt, a.mayHaveRun()));
             }
             guarded(() -> policy.messageRestored(now, policyMessage(message, messageClass, leftMs), earlier));
         }
@@ -344,7 +344,7 @@
         int messageClass = config.classes().indexOf(message.messageClass);
         boolean unsafe = messageClass < 0
                 || config.settings().classes().get(messageClass).repeatSafety() == DeliveryPolicy.RepeatSafety.UNSAFE;
-        return !unsafe || message.attempts.stream().allMatch(a -> a.neverRan);
+        return !unsafe || !message.mayHaveRun();
     }
 
     private void writeFailed(String event, String message, IOException cause) {
@@ -379,7 +379,7 @@
             // Scheduled instead of executed, so that the loop polls its sockets in between.
             loop.schedule(LoggedTask.of("sender.calls", this::startDelayedCalls), 0, TimeUnit.MILLISECONDS);
         } else {
-            decidedCalls.forEach(this::startCall);
+            startCalls(decidedCalls);
         }
         decidedCalls.clear();
     }
@@ -387,22 +387,52 @@
     private void startDelayedCalls() {
         List<DecidedCall> delayed = List.copyOf(delayedCalls.values());
         delayedCalls.clear();
+        List<DecidedCall> starting = new ArrayList<>();
         for (DecidedCall d : delayed) {
             if (policy.mayBegin(now(), d.message.number, d.attempt)) {
-                startCall(d);
+                starting.add(d);
             } else {
                 endNotStarted(d.message, d.attempt);
             }
         }
+        startCalls(starting);
     }
 
-    private void startCall(DecidedCall d) {
+    private void startCalls(List<DecidedCall> calls) {
+        List<Transport.Attempt> waiting = new ArrayList<>();
+        for (DecidedCall d : calls) {
+            Transport.Attempt attempt = startCall(d);
+            if (!attempt.hasBegun()) {
+                waiting.add(attempt);
+            }
+        }
+        recordWaiting(waiting);
+    }
+
+    private Transport.Attempt startCall(DecidedCall d) {
         if (FLOW_ENABLED) {
             Flow.step("out", d.message.id, d.attempt, d.message.destination, endpoints.id(d.endpoint));
         }
         long decidedNanos = startNanos + (long) (d.atMs * 1e6);
-        runningAttempts.put(attemptKey(d.message.number, d.attempt),
-                transport.attempt(d.message, d.attempt, d.endpoint, d.timing, decidedNanos));
+        Transport.Attempt attempt = transport.attempt(d.message, d.attempt, d.endpoint, d.timing, decidedNanos);
+        runningAttempts.put(attemptKey(d.message.number, d.attempt), attempt);
+        return attempt;
+    }
+
+    /** Records in one write that these attempts wait, so that the process after a restart does not take them for made. */
+    private void recordWaiting(List<Transport.Attempt> attempts) {
+        if (attempts.isEmpty()) {
+            return;
+        }
+        journal.beginBatch();
+        for (Transport.Attempt attempt : attempts) {
+            try {
+                journal.recordWaitsToBegin(attempt.message(), attempt.number());
+            } catch (IOException e) {
+                writeFailed("journal.wait_unwritten", attempt.message().id, e);
+            }
+        }
+        flushJournal();
     }
 
     /** Logs an unexpected exception. One in the handling of a message must not end the process and affect the others. */
@@ -600,7 +630,18 @@
     private final class AttemptEnds implements Transport.AttemptListener {
         @Override
         public boolean mayBegin(Transport.Attempt call) {
-            return policy.mayBegin(now(), call.message().number, call.number());
+            return policy.mayBegin(now(), call.message().number, call.number()) && recordBegins(call);
+        }
+
+        /** Writes before the first byte that the attempt begins, so that the process after a restart knows that it may run. */
+        private boolean recordBegins(Transport.Attempt call) {
+            try {
+                journal.recordBegins(call.message(), call.number());
+            } catch (IOException e) {
+                writeFailed("journal.begin_unwritten", call.message().id, e);
+                return false;
+            }
+            return flushJournal();
         }
 
         @Override
--- a/src/main/java/slipfield/core/Transport.java
+++ b/src/main/java/slipfield/core/Transport.java
@@ -17,6 +17,11 @@
         /** The number of this attempt among those of the message, from 0. */
         int number();
 
+        /**
+         * Whether a byte of it may have been written. If not, {@link AttemptListener#mayBegin} is asked before the first one is.
+         */
+        boolean hasBegun();
+
         /** When the attempt started, by {@link System#nanoTime}. */
         long startedNanos();
 
@@ -30,8 +35,8 @@
     /** Receives the end of each attempt, and decides whether a delayed attempt may still start. */
     interface AttemptListener {
         /**
-         * Whether an attempt that was decided earlier may still start, now that its connection is open. If false, not one byte
-         * of it is written and it ends as {@link DeliveryPolicy.AttemptOutcome#NOT_SENT}. By default it may.
+         * Whether an attempt that has waited may begin, now that its connection is open, or its consumer has capacity. If false, not
+         * one byte of it is written and it ends as {@link DeliveryPolicy.AttemptOutcome#NOT_SENT}. By default it may.
          */
         default boolean mayBegin(Attempt attempt) {
             return true;
--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -165,7 +165,7 @@
         return recorded.contains(message.number);
     }
 
-    /** Records an attempt that is about to be made; from now on it counts as one that may have run. */
+    /** Records an attempt that is about to be made; from now on it counts as one that may have run, unless it waits to begin. */
     public void recordAttempt(PendingMessage message, PendingMessage.Attempt attempt) throws IOException {
         append(message, RecordFormat.attempt(message, attempt));
         message.attempts.add(attempt);
@@ -173,10 +173,25 @@
 
     /** Records that the attempt's end proved that it never ran; if this record is lost, it counts as one that may have run. */
     public void recordNeverRan(PendingMessage message, int attempt) throws IOException {
-        message.attempts.get(attempt).neverRan = true;
+        state.setNeverRan(message, attempt);
         note(message, RecordFormat.neverRan(message, attempt));
     }
 
+    /**
+     * Records that an attempt waits to begin: not one byte of it is written before {@link #recordBegins}. If this record is lost, it
+     * counts as one that may have run.
+     */
+    public void recordWaitsToBegin(PendingMessage message, int attempt) throws IOException {
+        state.setWaitsToBegin(message, attempt, true);
+        writeApplied(RecordFormat.attemptState(RecordFormat.WAITS_TO_BEGIN, message, attempt));
+    }
+
+    /** Records that an attempt which waited is about to begin. If this throws, it must not begin. */
+    public void recordBegins(PendingMessage message, int attempt) throws IOException {
+        state.setWaitsToBegin(message, attempt, false);
+        writeApplied(RecordFormat.attemptState(RecordFormat.BEGINS, message, attempt));
+    }
+
     /** Records the message's final answer, which recipients have yet to acknowledge. */
     public void recordAnswer(PendingMessage message, PendingMessage.Notice notice) throws IOException {
         message.pendingNotice = Optional.of(notice);
--- a/src/main/java/slipfield/journal/JournalState.java
+++ b/src/main/java/slipfield/journal/JournalState.java
@@ -15,6 +15,8 @@
     /** Bytes reserved for the later records of a message: for each attempt, and for its final answer. */
     static final int ATTEMPT_BYTES = 128;
     private static final int ANSWER_BYTES = 64;
+    /** Bytes of the record that an attempt waits to begin. */
+    private static final int WAITS_BYTES = RecordFormat.HEADER_BYTES + 1 + 2 * Long.BYTES + Integer.BYTES;
     /** The text of completed ids takes up 1/32 of the bound at the most, hashes of older ones 1/5. */
     private static final int COMPLETED_DIVISOR = 32;
     private static final int HASHES_DIVISOR = 5;
@@ -77,6 +79,21 @@
         bytes += length;
     }
 
+    /** Sets whether an attempt waits to begin; a compacted file has a record of it only while it does. */
+    void setWaitsToBegin(PendingMessage message, int number, boolean waits) {
+        PendingMessage.Attempt attempt = message.attempts.get(number);
+        if (attempt.waitsToBegin != waits) {
+            attempt.waitsToBegin = waits;
+            count(message, waits ? WAITS_BYTES : -WAITS_BYTES);
+        }
+    }
+
+    /** The end of an attempt proved that it did not run; whether it ever began makes no difference any more. */
+    void setNeverRan(PendingMessage message, int number) {
+        setWaitsToBegin(message, number, false);
+        message.attempts.get(number).neverRan = true;
+    }
+
     /** Removes a message that is completed or withdrawn; false: it was not pending. */
     boolean remove(PendingMessage message) {
         boolean was = pending.remove(message.number) != null;
@@ -160,6 +177,9 @@
                 if (message.attempts.get(i).neverRan) {
                     all.writeBytes(RecordFormat.neverRan(message, i));
                 }
+                if (message.attempts.get(i).waitsToBegin) {
+                    all.writeBytes(RecordFormat.attemptState(RecordFormat.WAITS_TO_BEGIN, message, i));
+                }
             }
             if (message.pendingNotice.isPresent()) {
                 all.writeBytes(RecordFormat.answer(message, message.pendingNotice.get()));
--- a/src/main/java/slipfield/journal/PendingMessage.java
+++ b/src/main/java/slipfield/journal/PendingMessage.java
@@ -36,16 +36,27 @@
     /** No further attempt may be made: the message was delivered, withdrawn, or answered by a notice. */
     public boolean finished;
 
-    /** An attempt. It counts as one that may have run unless its end proved otherwise, even if this process is killed. */
+    /**
+     * An attempt. It counts as one that may have run, even if this process is killed, unless its end proved otherwise or it still
+     * waits to begin.
+     */
     public static final class Attempt {
         public final String endpoint;
         public final long sentAtMs;
+        /** Its end proved that it did not run. */
         public boolean neverRan;
+        /** Not one byte of it has been written yet, for example since its connection is still being established. */
+        public boolean waitsToBegin;
 
         public Attempt(String endpoint, long sentAtMs) {
             this.endpoint = endpoint;
             this.sentAtMs = sentAtMs;
         }
+
+        /** Whether the message may have taken effect, or may still do so, by this attempt. */
+        public boolean mayHaveRun() {
+            return !neverRan && !waitsToBegin;
+        }
     }
 
     /** The kinds of final answer. */
@@ -80,6 +91,11 @@
             long deadlineMs, byte[] body) {
         this(number, id, messageClass, tenant, key, destination, deadlineMs, body, AnswerRecipient.PLATFORM);
     }
+    /** Whether the message may have taken effect by any of its attempts. */
+    public boolean mayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
     /** Whether a finished message was delivered. */
     public boolean wasDelivered() {
         return pendingNotice.isEmpty() || pendingNotice.get().answer() == FinalAnswer.DELIVERED;
--- a/src/main/java/slipfield/journal/RecordFormat.java
+++ b/src/main/java/slipfield/journal/RecordFormat.java
@@ -42,6 +42,10 @@
     static final int DESTINATION_HEALTH = 14;
     /** Completed messages by hashes of their ids, in a compacted file. */
     static final int HASHED_IDS = 15;
+    /** An attempt, recorded before, waits to begin; older versions take it for one that may have run. */
+    static final int WAITS_TO_BEGIN = 16;
+    /** An attempt that waited is about to begin. */
+    static final int BEGINS = 17;
     /** A damaged record loses its ids, and a larger one takes longer to be corrected. */
     private static final int HASHES_PER_RECORD = 4096;
     /** The number in records of types that older versions do not know: no message has it, so that they ignore these records. */
@@ -164,6 +168,16 @@
         });
     }
 
+    /** {@code type}: {@link #WAITS_TO_BEGIN} or {@link #BEGINS}. */
+    static byte[] attemptState(int type, PendingMessage message, int attempt) {
+        return record(out -> {
+            out.writeByte(type);
+            out.writeLong(NO_MESSAGE);
+            out.writeLong(message.number);
+            out.writeInt(attempt);
+        });
+    }
+
     static byte[] answer(PendingMessage message, PendingMessage.Notice notice) {
         return record(out -> {
             boolean delivered = notice.answer() == PendingMessage.FinalAnswer.DELIVERED;
--- a/src/main/java/slipfield/journal/Replay.java
+++ b/src/main/java/slipfield/journal/Replay.java
@@ -113,6 +113,13 @@
                 }
                 return;
             }
+            case RecordFormat.WAITS_TO_BEGIN, RecordFormat.BEGINS -> {
+                PendingMessage message = state.pending.get(in.readLong());
+                if (message != null) {
+                    state.setWaitsToBegin(message, in.readInt(), type == RecordFormat.WAITS_TO_BEGIN);
+                }
+                return;
+            }
             case RecordFormat.CLOCK -> {
                 ProcessClock.Reference written = new ProcessClock.Reference(number, in.readLong(), in.readLong());
                 shiftMs = clock.isEmpty() ? 0 : written.shiftTo(clock.get());
@@ -145,7 +152,7 @@
         }
         switch (type) {
             case RecordFormat.ATTEMPT -> message.attempts.add(new PendingMessage.Attempt(in.readUTF(), converted(in.readLong())));
-            case RecordFormat.NEVER_RAN -> message.attempts.get(in.readInt()).neverRan = true;
+            case RecordFormat.NEVER_RAN -> state.setNeverRan(message, in.readInt());
             case RecordFormat.UNDELIVERED -> {
                 message.pendingNotice = Optional.of(new PendingMessage.Notice(in.readBoolean()
                         ? PendingMessage.FinalAnswer.REFUSED : PendingMessage.FinalAnswer.FAILED,
--- a/src/main/java/slipfield/transport/amqp/ConsumerTransport.java
+++ b/src/main/java/slipfield/transport/amqp/ConsumerTransport.java
@@ -174,7 +174,7 @@
     public void capacityFreed(Receiver receiver) {
         ConnectedConsumer consumer = connected.get(receiver.name());
         while (consumer != null && !consumer.waiting.isEmpty() && receiver.hasCapacity()) {
-            consumer.waiting.pollFirst().deliver();
+            consumer.waiting.pollFirst().deliverAfterWait();
         }
     }
 
@@ -211,6 +211,11 @@
             return number;
         }
 
+        @Override
+        public boolean hasBegun() {
+            return written != null;
+        }
+
         @Override
         public long startedNanos() {
             return startedNanos;
@@ -222,6 +227,14 @@
             end(written == null ? AttemptOutcome.NOT_SENT : AttemptOutcome.CANCELLED);
         }
 
+        private void deliverAfterWait() {
+            if (attemptListener.mayBegin(this)) {
+                deliver();
+            } else {
+                end(AttemptOutcome.NOT_SENT);
+            }
+        }
+
         /** Delivers, unless the latest write time has passed while the attempt waited; a repeated delivery must not be late. */
         private void deliver() {
             if ((System.nanoTime() - decidedNanos) / 1e6 > latestWriteMs) {
--- a/src/main/java/slipfield/transport/http/HttpTransport.java
+++ b/src/main/java/slipfield/transport/http/HttpTransport.java
@@ -301,6 +301,11 @@
             return number;
         }
 
+        @Override
+        public boolean hasBegun() {
+            return connection != null;
+        }
+
         @Override
         public long startedNanos() {
             return startedNanos;
@@ -330,7 +335,7 @@
                 if (listener.mayBegin(this)) {
                     write(newConnection);
                 } else {
-                    // The endpoint has requested a delay in the meantime. The connection is kept for the next call.
+                    // The endpoint has requested a delay in the meantime, or the journal fails. The connection is kept.
                     end(AttemptOutcome.NOT_SENT);
                     newConnection.makeIdle();
                 }
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -63,8 +63,11 @@
         private Transport.AttemptListener listener;
         private MessageIntake intake;
 
-        private record RunningAttempt(PendingMessage message, int number, long startedNanos, Transport.AttemptListener listener)
-                implements Transport.Attempt {
+        /** Whether attempts begin at once. */
+        private boolean connected = true;
+
+        private record RunningAttempt(PendingMessage message, int number, boolean hasBegun, long startedNanos,
+                Transport.AttemptListener listener) implements Transport.Attempt {
             @Override
             public void cancel() {
                 listener.ended(this, DeliveryPolicy.AttemptOutcome.CANCELLED, false, 0, DeliveryPolicy.LimitReport.NOTHING);
@@ -97,7 +100,7 @@
                 @Override
                 public Attempt attempt(PendingMessage held, int number, long endpoint, DeliveryPolicy.AttemptTiming timing,
                         long decidedNanos) {
-                    RunningAttempt attempt = new RunningAttempt(held, number, System.nanoTime(), listener);
+                    RunningAttempt attempt = new RunningAttempt(held, number, connected, System.nanoTime(), listener);
                     running.add(attempt);
                     return attempt;
                 }
@@ -319,6 +322,33 @@
         assertEquals("accepted", submit("id-" + known, "once", KEPT));
     }
 
+    /** Guards against orders that are given up untried, since their connections were not up at a kill (review, case 8). */
+    @Test
+    void anAttemptThatWaitsForItsConnectionAtAKillIsMadeByTheNextProcess() throws Exception {
+        world.connected = false;
+        assertEquals("accepted", submit("unsafe", "once", AnswerRecipient.PLATFORM));
+        assertEquals("accepted", submit("stopped", "once", AnswerRecipient.PLATFORM));
+        Stub.await("both wait for a connection", () -> world.running.size() == 2);
+        restart();
+        Stub.await("an attempt", () -> !world.running.isEmpty());
+        end(DeliveryPolicy.AttemptOutcome.DELIVERED);
+        end(DeliveryPolicy.AttemptOutcome.DELIVERED);
+        assertEquals(List.of(), List.copyOf(world.sent));
+    }
+
+    /** The record that an attempt begins comes before its first byte: whoever finds it must take the message for one that ran. */
+    @Test
+    void anAttemptThatHasBegunAfterItsConnectionIsNotMadeAgain() throws Exception {
+        world.connected = false;
+        assertEquals("accepted", submit("unsafe", "once", AnswerRecipient.PLATFORM));
+        Stub.await("it waits for a connection", () -> !world.running.isEmpty());
+        World.RunningAttempt attempt = world.running.get(0);
+        assertTrue(onLoop(() -> attempt.listener().mayBegin(attempt)));
+        restart();
+        awaitAnswers("unsafe platform FAILED");
+        assertEquals(List.of(), List.copyOf(world.running));
+    }
+
     /** Guards against a process that starts in an outage, and sends all it has to an endpoint with a new id (review, case 10). */
     @Test
     void anOutageHoldsForAnEndpointThatReplacesTheFailedOneDuringARestart() throws Exception {
--- a/src/test/java/slipfield/daemon/AmqpTest.java
+++ b/src/test/java/slipfield/daemon/AmqpTest.java
@@ -37,6 +37,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import slipfield.journal.JournalReader;
 import slipfield.standin.Stub;
 
 /** Tests a complete sender with publishers and consumers of the RabbitMQ client library. */
@@ -376,6 +377,38 @@
         drain.join();
     }
 
+    /** Guards against an order that is given up at a restart although its consumer had no capacity for it yet (review, case 8). */
+    @Test
+    void aMessageThatWaitsForItsConsumerAtAKillIsDeliveredByTheNextProcess() throws Exception {
+        fixture = new AmqpFixture(folder).start();
+        BlockingQueue<Delivery> seen = consumer(channel("broker"), "c", 1);
+        Channel publisher = publisher();
+        publish(publisher, "once.7", "in flight");
+        next(seen);
+        publish(publisher, "once.7", "waiting");
+        Path journal = folder.resolve("state").resolve("journal");
+        Stub.await("its attempt waits", () -> {
+            try {
+                return new JournalReader(journal).pendingMessages().stream().anyMatch(m ->
+                        m.id.equals("waiting") && m.attempts.size() == 1 && m.attempts.get(0).waitsToBegin);
+            } catch (IOException notNow) {
+                return false;
+            }
+        });
+        fixture.daemon.kill();
+        fixture.start();
+        BlockingQueue<Delivery> again = consumer(channel("broker"), "c", 1);
+        Delivery waiting = next(again);
+        assertEquals("waiting", waiting.properties.getMessageId());
+        waiting.channel.basicAck(waiting.envelope.getDeliveryTag(), false);
+        Channel publisherAgain = publisher();
+        publish(publisherAgain, "once.7", "waiting");
+        assertEquals("ack 1", next());
+        publish(publisherAgain, "once.7", "in flight");
+        assertEquals("return 541 failed in flight", next());
+        assertTrue(again.isEmpty(), "a message was delivered twice");
+    }
+
     /** Guards against a refusal of a message that has run, or is in flight, because the sender is ending (review, case 6). */
     @Test
     void aSenderThatEndsTellsWhatBecameOfAMessageThatIsPublishedAgain() throws Exception {
--- a/src/test/java/slipfield/journal/JournalTest.java
+++ b/src/test/java/slipfield/journal/JournalTest.java
@@ -545,6 +545,59 @@
         }
     }
 
+    /** Guards against orders that are given up untried, since their connections were not up at a kill (review, case 8). */
+    @Test
+    void onlyAnAttemptThatHasBegunMayHaveRun() throws Exception {
+        for (boolean compacted : List.of(false, true)) {
+            Files.deleteIfExists(folder.resolve("journal"));
+            try (Journal journal = open()) {
+                for (int i = 0; i < 4; i++) {
+                    PendingMessage m = message(journal, 10);
+                    journal.recordAccepted(m);
+                    journal.recordAttempt(m, new PendingMessage.Attempt("s-1", 100));
+                    if (i > 0) {
+                        journal.recordWaitsToBegin(m, 0);
+                    }
+                    if (i == 2) {
+                        journal.recordBegins(m, 0);
+                    } else if (i == 3) {
+                        journal.recordNeverRan(m, 0);
+                    }
+                }
+                for (long written = 0; compacted && written < 2 * DISK_BYTES; written += 50) {
+                    journal.recordHealth("s-3", new Journal.Health(DeliveryPolicy.State.DOWN, 100, 0.5));
+                }
+            }
+            try (Journal journal = open()) {
+                List<PendingMessage> pending = journal.pendingMessages();
+                assertEquals(List.of(true, false, true, false), pending.stream().map(PendingMessage::mayHaveRun).toList());
+                // Begins in a file that says that it waits, compacted or not.
+                journal.recordWaitsToBegin(pending.get(1), 0);
+                journal.recordBegins(pending.get(1), 0);
+            }
+            try (Journal journal = open()) {
+                assertEquals(List.of(true, true, true, false), journal.pendingMessages().stream().map(PendingMessage::mayHaveRun)
+                        .toList());
+            }
+        }
+    }
+
+    @Test
+    void anAttemptWhoseBeginCannotBeWrittenMustNotBegin() throws Exception {
+        SmallDisk disk = new SmallDisk();
+        try (Journal journal = new Journal(folder, DISK_BYTES, 12, new ProcessClock.Reference(0, 0, 0), disk::open)) {
+            PendingMessage m = message(journal, 10);
+            journal.recordAccepted(m);
+            journal.recordAttempt(m, new PendingMessage.Attempt("s-1", 100));
+            journal.recordWaitsToBegin(m, 0);
+            disk.room = 5;
+            assertThrows(IOException.class, () -> journal.recordBegins(m, 0));
+        }
+        try (Journal journal = open()) {
+            assertEquals(List.of(false), journal.pendingMessages().stream().map(PendingMessage::mayHaveRun).toList());
+        }
+    }
+
     /** A batch is written in one piece. If that fails, a restart finds none of its records, but all later ones. */
     @Test
     void aBatchThatCannotBeWrittenLeavesNoRecords() throws Exception {
--- a/src/test/java/slipfield/transport/http/HttpTransportTest.java
+++ b/src/test/java/slipfield/transport/http/HttpTransportTest.java
@@ -1,6 +1,7 @@
 package slipfield.transport.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -30,6 +31,7 @@
 import org.junit.jupiter.api.Test;
 import slipfield.core.Transport;
 import slipfield.journal.PendingMessage;
+import slipfield.policy.DeliveryPolicy;
 import slipfield.policy.DeliveryPolicy.AttemptOutcome;
 import slipfield.policy.DeliveryPolicy.AttemptTiming;
 import slipfield.standin.Stub;
@@ -106,6 +108,36 @@
         assertEquals("body", m.body());
     }
 
+    /** Guards against a first byte before the record that the attempt begins (review, case 8). */
+    @Test
+    void aCallAsksBeforeItsFirstByteUnlessItBeginsAtOnce() throws Exception {
+        BlockingQueue<Boolean> begunWhenAsked = new LinkedBlockingQueue<>();
+        boolean[] allowed = {false};
+        transport = new HttpTransport(loop, 1000, 15_000, 4, new Transport.AttemptListener() {
+            @Override
+            public boolean mayBegin(Transport.Attempt attempt) {
+                begunWhenAsked.add(attempt.hasBegun());
+                return allowed[0];
+            }
+
+            @Override
+            public void ended(Transport.Attempt call, AttemptOutcome outcome, boolean gone, double waitMs,
+                    DeliveryPolicy.LimitReport limit) {
+                ends.add(new End(outcome, gone, waitMs));
+            }
+        });
+        setAddress(stub.address());
+        start(new byte[1], LONG_TIMEOUT_MS);
+        assertEquals(AttemptOutcome.NOT_SENT, end().outcome());
+        assertTrue(stub.requests.isEmpty());
+        assertFalse(begunWhenAsked.remove());
+        allowed[0] = true;
+        Transport.Attempt overIdleConnection = start(new byte[1], LONG_TIMEOUT_MS);
+        assertTrue(overIdleConnection.hasBegun());
+        assertEquals(AttemptOutcome.DELIVERED, end().outcome());
+        assertTrue(begunWhenAsked.isEmpty());
+    }
+
     /** Messages were lost after restarts: calls of an event-loop iteration that took a second timed out a second late. */
     @Test
     void aTimeOutCountsFromTheDecisionEvenIfTheCallStartsLate() throws Exception {
