A call of a long turn counts as one that waits until it is started

A call that was decided in a turn of the event loop of over 30 ms is checked again and started in the next turn, and counted as made meanwhile. A kill in that moment, in a jam some 100 ms, gave up its message if it may not be repeated.

Fix: such calls are recorded as waiting, and begin with the write of all that the check has let through.

--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -376,6 +376,7 @@
     private void startCalls() {
         if (!decidedCalls.isEmpty() && now() - iterationMs > STALE_DECISION_MS) {
             decidedCalls.forEach(d -> delayedCalls.put(attemptKey(d.message.number, d.attempt), d));
+            recordWaiting(decidedCalls);
             // Scheduled instead of executed, so that the loop polls its sockets in between.
             loop.schedule(LoggedTask.of("sender.calls", this::startDelayedCalls), 0, TimeUnit.MILLISECONDS);
         } else {
@@ -395,18 +396,15 @@
                 endNotStarted(d.message, d.attempt);
             }
         }
-        startCalls(starting);
+        if (recordBegins(starting)) {
+            startCalls(starting);
+        } else {
+            starting.forEach(d -> endNotStarted(d.message, d.attempt));
+        }
     }
 
     private void startCalls(List<DecidedCall> calls) {
-        List<Transport.Attempt> waiting = new ArrayList<>();
-        for (DecidedCall d : calls) {
-            Transport.Attempt attempt = startCall(d);
-            if (!attempt.hasBegun()) {
-                waiting.add(attempt);
-            }
-        }
-        recordWaiting(waiting);
+        recordWaiting(calls.stream().filter(d -> !startCall(d).hasBegun()).toList());
     }
 
     private Transport.Attempt startCall(DecidedCall d) {
@@ -420,21 +418,44 @@
     }
 
     /** Records in one write that these attempts wait, so that the process after a restart does not take them for made. */
-    private void recordWaiting(List<Transport.Attempt> attempts) {
-        if (attempts.isEmpty()) {
+    private void recordWaiting(List<DecidedCall> calls) {
+        if (calls.isEmpty()) {
             return;
         }
         journal.beginBatch();
-        for (Transport.Attempt attempt : attempts) {
+        for (DecidedCall d : calls) {
             try {
-                journal.recordWaitsToBegin(attempt.message(), attempt.number());
+                journal.recordWaitsToBegin(d.message, d.attempt);
             } catch (IOException e) {
-                writeFailed("journal.wait_unwritten", attempt.message().id, e);
+                writeFailed("journal.wait_unwritten", d.message.id, e);
             }
         }
         flushJournal();
     }
 
+    /** Records in one write that these attempts, which have waited, begin. Returns whether they may. */
+    private boolean recordBegins(List<DecidedCall> calls) {
+        if (calls.isEmpty()) {
+            return true;
+        }
+        journal.beginBatch();
+        boolean recorded = true;
+        for (DecidedCall d : calls) {
+            recorded &= recordBegins(d.message, d.attempt);
+        }
+        return flushJournal() && recorded;
+    }
+
+    private boolean recordBegins(PendingMessage message, int attempt) {
+        try {
+            journal.recordBegins(message, attempt);
+            return true;
+        } catch (IOException e) {
+            writeFailed("journal.begin_unwritten", message.id, e);
+            return false;
+        }
+    }
+
     /** Logs an unexpected exception. One in the handling of a message must not end the process and affect the others. */
     private static void logFault(RuntimeException e) {
         Log.error("module.fault", "cause", e, "at", List.of(e.getStackTrace()).stream().limit(5).toList());
@@ -630,18 +651,9 @@
     private final class AttemptEnds implements Transport.AttemptListener {
         @Override
         public boolean mayBegin(Transport.Attempt call) {
-            return policy.mayBegin(now(), call.message().number, call.number()) && recordBegins(call);
-        }
-
-        /** Writes before the first byte that the attempt begins, so that the process after a restart knows that it may run. */
-        private boolean recordBegins(Transport.Attempt call) {
-            try {
-                journal.recordBegins(call.message(), call.number());
-            } catch (IOException e) {
-                writeFailed("journal.begin_unwritten", call.message().id, e);
-                return false;
-            }
-            return flushJournal();
+            return policy.mayBegin(now(), call.message().number, call.number())
+                    // Written before the first byte, so that the process after a restart knows that it may run.
+                    && recordBegins(call.message(), call.number()) && flushJournal();
         }
 
         @Override
--- a/src/test/java/slipfield/core/SenderPortsTest.java
+++ b/src/test/java/slipfield/core/SenderPortsTest.java
@@ -1,9 +1,12 @@
 package slipfield.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -16,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.atomic.AtomicLong;
@@ -31,6 +35,7 @@
 import slipfield.config.Config;
 import slipfield.journal.AnswerRecipient;
 import slipfield.journal.Journal;
+import slipfield.journal.JournalReader;
 import slipfield.journal.PendingMessage;
 import slipfield.journal.ProcessClock;
 import slipfield.journal.PendingAnswer;
@@ -336,6 +341,32 @@
         assertEquals(List.of(), List.copyOf(world.sent));
     }
 
+    /** Guards against the same for calls that a long iteration has decided, and that are checked once more before they start. */
+    @Test
+    void aCallOfALongIterationWaitsUntilItIsStarted() throws Exception {
+        CompletableFuture<Boolean> beforeItStarts = new CompletableFuture<>();
+        onLoop(() -> {
+            // Runs after the iteration, and before the calls that it has decided are checked.
+            sender.loop().schedule(() -> beforeItStarts.complete(mayHaveRunByTheJournal()), 0, TimeUnit.MILLISECONDS);
+            String result = submit("decided", "once", AnswerRecipient.PLATFORM);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(LONG_ITERATION_MS));
+            return result;
+        });
+        assertFalse(beforeItStarts.get(30, TimeUnit.SECONDS));
+        Stub.await("it has begun", () -> !world.running.isEmpty());
+        assertTrue(onLoop(this::mayHaveRunByTheJournal));
+    }
+
+    private boolean mayHaveRunByTheJournal() {
+        try {
+            PendingMessage message = new JournalReader(folder.resolve("state").resolve("journal")).pendingMessages().get(0);
+            assertEquals(1, message.attempts.size());
+            return message.mayHaveRun();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** The record that an attempt begins comes before its first byte: whoever finds it must take the message for one that ran. */
     @Test
     void anAttemptThatHasBegunAfterItsConnectionIsNotMadeAgain() throws Exception {
