--- a/src/main/java/slipfield/core/Sender.java
+++ b/src/main/java/slipfield/core/Sender.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -53,12 +52,6 @@
     private static final long KILL_QUIET_MS = 100;
     /** A message that ends this long after its deadline is traced: half of the delay that the rules allow. */
     private static final double LATE_ANSWER_MS = 150;
-    /**
-     * A call that was decided this long before it can be written is checked again after the sockets have been polled, since an
-     * unread answer may request a delay. It is well below the 100 ms after the start of a requested delay in which calls are
-     * still let through (PROTOCOL).
-     */
-    private static final double STALE_DECISION_MS = 30;
     /** How long the warm-up may delay listening; shorter if messages are pending. */
     private static final long WARM_UP_MS = 4000;
     private static final long WARM_UP_PENDING_MS = 300;
@@ -84,12 +77,6 @@
     private EndedIds endedIds;
     /** Destinations that an endpoint list has named. */
     private final Set<Long> knownDestinations = new HashSet<>();
-    /** Attempts in progress, by {@link #attemptKey}. */
-    private final Map<Long, Transport.Attempt> runningAttempts = new HashMap<>();
-    /** Calls that the policy has decided in this iteration. They are made after the iteration's answers have been sent. */
-    private final List<DecidedCall> decidedCalls = new ArrayList<>();
-    /** Calls decided in an iteration that took long, which are checked again before they start, by {@link #attemptKey}. */
-    private final Map<Long, DecidedCall> delayedCalls = new LinkedHashMap<>();
     private final DeliveryPolicy policy;
     private final AdmissionControl admission;
     private final Trace trace = TRACE_ENABLED ? new Trace(System.err) : null;
@@ -97,6 +84,7 @@
     private Journal journal;
     private Durability durability;
     private Transport transport;
+    private AttemptStarter attemptStarter;
     private Map<String, AnswerChannel> answerChannels = Map.of();
     private Map<String, Directory> directories = Map.of();
     private EndpointCatalogue catalogue;
@@ -108,16 +96,6 @@
     /** An endpoint list is known, and the messages of the journal are restored. */
     private boolean ready;
 
-    /** A map key for an attempt. It is not a record, since linking a record's hash code takes 90 ms of CPU at the first call. */
-    private static long attemptKey(long message, int attempt) {
-        return message << 16 | attempt;
-    }
-
-    /** A call that the policy has decided; {@code atMs}: the policy's time of the iteration in which it was decided. */
-    private record DecidedCall(PendingMessage message, int attempt, long endpoint, DeliveryPolicy.AttemptTiming timing,
-            double atMs) {
-    }
-
     /**
      * Creates a sender; {@link #start} starts it.
      *
@@ -167,6 +145,7 @@
         }
         transport = components.transport(loop, new AttemptEnds());
         transport.start();
+        attemptStarter = new AttemptStarter(loop, journal, transport, new AttemptContext());
         answerChannels = components.answerChannels(loop, this::acknowledged);
         frontends = components.frontends(loop, new Intake());
         directories = components.directories(loop);
@@ -355,104 +334,34 @@
     /** Writes the iteration's records so far. If that fails, the calls decided in this iteration are not made. */
     private void recordIteration() {
         if (!flushJournal()) {
-            decidedCalls.forEach(d -> dropUnrecorded(d.message, d.attempt));
-            decidedCalls.clear();
+            attemptStarter.dropUnrecorded();
         }
     }
 
-    /** Drops an attempt that is not in the journal: after a restart it could run twice. */
-    private void dropUnrecorded(PendingMessage message, int attempt) {
-        Log.warn("attempt.unrecorded", "message", message.id, "attempt", attempt);
-        endNotStarted(message, attempt);
-    }
-
-    /** Ends an attempt of which not one byte has been written, so that it has certainly not run. */
-    private void endNotStarted(PendingMessage message, int attempt) {
-        message.attempts.get(attempt).neverRan = true;
-        loop.execute(() -> attemptEnded(message, attempt, DeliveryPolicy.AttemptOutcome.NOT_SENT, false, 0,
-                DeliveryPolicy.LimitReport.NOTHING, 0));
-    }
-
     private void startCalls() {
-        if (!decidedCalls.isEmpty() && now() - iterationMs > STALE_DECISION_MS) {
-            decidedCalls.forEach(d -> delayedCalls.put(attemptKey(d.message.number, d.attempt), d));
-            recordWaiting(decidedCalls);
-            // Scheduled instead of executed, so that the loop polls its sockets in between.
-            loop.schedule(LoggedTask.of("sender.calls", this::startDelayedCalls), 0, TimeUnit.MILLISECONDS);
-        } else {
-            startCalls(decidedCalls);
-        }
-        decidedCalls.clear();
-    }
-
-    private void startDelayedCalls() {
-        List<DecidedCall> delayed = List.copyOf(delayedCalls.values());
-        delayedCalls.clear();
-        List<DecidedCall> starting = new ArrayList<>();
-        for (DecidedCall d : delayed) {
-            if (policy.mayBegin(now(), d.message.number, d.attempt)) {
-                starting.add(d);
-            } else {
-                endNotStarted(d.message, d.attempt);
-            }
-        }
-        if (recordBegins(starting)) {
-            startCalls(starting);
-        } else {
-            starting.forEach(d -> endNotStarted(d.message, d.attempt));
-        }
-    }
-
-    private void startCalls(List<DecidedCall> calls) {
-        recordWaiting(calls.stream().filter(d -> !startCall(d).hasBegun()).toList());
+        attemptStarter.startDecided(now() - iterationMs);
     }
 
-    private Transport.Attempt startCall(DecidedCall d) {
-        if (FLOW_ENABLED) {
-            Flow.step("out", d.message.id, d.attempt, d.message.destination, endpoints.id(d.endpoint));
+    private final class AttemptContext implements AttemptStarter.Context {
+        @Override
+        public boolean isPermitted(PendingMessage message, int attempt) {
+            return policy.mayBegin(now(), message.number, attempt);
         }
-        long decidedNanos = startNanos + (long) (d.atMs * 1e6);
-        Transport.Attempt attempt = transport.attempt(d.message, d.attempt, d.endpoint, d.timing, decidedNanos);
-        runningAttempts.put(attemptKey(d.message.number, d.attempt), attempt);
-        return attempt;
-    }
 
-    /** Records in one write that these attempts wait, so that the process after a restart does not take them for made. */
-    private void recordWaiting(List<DecidedCall> calls) {
-        if (calls.isEmpty()) {
-            return;
-        }
-        journal.beginBatch();
-        for (DecidedCall d : calls) {
-            try {
-                journal.recordWaitsToBegin(d.message, d.attempt);
-            } catch (IOException e) {
-                writeFailed("journal.wait_unwritten", d.message.id, e);
-            }
+        @Override
+        public boolean flushJournal() {
+            return Sender.this.flushJournal();
         }
-        flushJournal();
-    }
 
-    /** Records in one write that these attempts, which have waited, begin. Returns whether they may. */
-    private boolean recordBegins(List<DecidedCall> calls) {
-        if (calls.isEmpty()) {
-            return true;
-        }
-        journal.beginBatch();
-        boolean recorded = true;
-        for (DecidedCall d : calls) {
-            recorded &= recordBegins(d.message, d.attempt);
+        @Override
+        public void writeFailed(String event, String message, IOException cause) {
+            Sender.this.writeFailed(event, message, cause);
         }
-        return flushJournal() && recorded;
-    }
 
-    private boolean recordBegins(PendingMessage message, int attempt) {
-        try {
-            journal.recordBegins(message, attempt);
-            return true;
-        } catch (IOException e) {
-            writeFailed("journal.begin_unwritten", message.id, e);
-            return false;
+        @Override
+        public void notStarted(PendingMessage message, int attempt) {
+            loop.execute(() -> attemptEnded(message, attempt, DeliveryPolicy.AttemptOutcome.NOT_SENT, false, 0,
+                    DeliveryPolicy.LimitReport.NOTHING, 0));
         }
     }
 
@@ -478,32 +387,15 @@
     @Override
     public void send(long message, long endpoint, DeliveryPolicy.AttemptTiming timing) {
         PendingMessage pending = pendingByNumber.get(message);
-        int number = pending.attempts.size();
-        PendingMessage.Attempt attempt = new PendingMessage.Attempt(endpoints.id(endpoint), clock.wallMs());
-        try {
-            journal.recordAttempt(pending, attempt);
-        } catch (IOException e) {
-            writeFailed("journal.attempt_unwritten", pending.id, e);
-            pending.attempts.add(attempt);
-            dropUnrecorded(pending, number);
-            return;
-        }
-        decidedCalls.add(new DecidedCall(pending, number, endpoint, timing, iterationMs));
+        attemptStarter.decide(pending, new PendingMessage.Attempt(endpoints.id(endpoint), clock.wallMs()), endpoint, timing,
+                startNanos + (long) (iterationMs * 1e6));
     }
 
     @Override
     public void cancel(long message, int attempt) {
         recordIteration();
         startCalls();
-        DecidedCall delayed = delayedCalls.remove(attemptKey(message, attempt));
-        if (delayed != null) {
-            endNotStarted(delayed.message, attempt);
-            return;
-        }
-        Transport.Attempt call = runningAttempts.get(attemptKey(message, attempt));
-        if (call != null) {
-            call.cancel();
-        }
+        attemptStarter.cancel(message, attempt);
     }
 
     @Override
@@ -651,15 +543,13 @@
     private final class AttemptEnds implements Transport.AttemptListener {
         @Override
         public boolean mayBegin(Transport.Attempt call) {
-            return policy.mayBegin(now(), call.message().number, call.number())
-                    // Written before the first byte, so that the process after a restart knows that it may run.
-                    && recordBegins(call.message(), call.number()) && flushJournal();
+            return attemptStarter.mayBegin(call);
         }
 
         @Override
         public void ended(Transport.Attempt call, DeliveryPolicy.AttemptOutcome outcome, boolean gone, double waitMs,
                 DeliveryPolicy.LimitReport told) {
-            runningAttempts.remove(attemptKey(call.message().number, call.number()));
+            attemptStarter.ended(call);
             double took = (System.nanoTime() - call.startedNanos()) / 1e6;
             attemptEnded(call.message(), call.number(), outcome, gone, waitMs, told, took);
         }
--- a/src/main/java/slipfield/policy/DestinationHealth.java
+++ b/src/main/java/slipfield/policy/DestinationHealth.java
@@ -12,7 +12,7 @@
  * Without I/O; times in milliseconds.
  */
 final class DestinationHealth {
-    private static final Comparator<KnownEndpoint> MOST_TELLING_LAST = Comparator.comparing(KnownEndpoint::serving)
+    private static final Comparator<KnownEndpoint> BY_RELEVANCE = Comparator.comparing(KnownEndpoint::serving)
             .thenComparing(known -> known.health.state() == State.WARMING);
 
     private final double warmUpMs;
@@ -53,7 +53,7 @@
         if (endpoints.stream().anyMatch(known -> known.isInService(now))) {
             outage = Optional.empty();
         } else {
-            outage = endpoints.stream().filter(known -> known.health.state() != State.UP).max(MOST_TELLING_LAST).or(() -> outage);
+            outage = endpoints.stream().filter(known -> known.health.state() != State.UP).max(BY_RELEVANCE).or(() -> outage);
         }
         State before = reported;
         reported = state();
