The sends of the last second are kept by the class that counts a period

What it is for: the move of the send budget had left the sends of the last second with a search through all of them at each send, where only the oldest can be too old. Found on reading the change again.

--- a/src/main/java/slipfield/journal/Journal.java
+++ b/src/main/java/slipfield/journal/Journal.java
@@ -69,6 +69,7 @@
         this(folder, diskBytes, maxAttempts, ProcessClock.system().reference(), FileChannel::open);
     }
 
+    /** The same with the number of completed messages' ids that is kept by default, 4,096. */
     public Journal(Path folder, long diskBytes, int maxAttempts, ProcessClock.Reference clock, Opener opener) throws IOException {
         this(folder, diskBytes, maxAttempts, DEFAULT_KNOWN_IDS, clock, opener);
     }
--- a/src/main/java/slipfield/policy/WaveDeliveryPolicy.java
+++ b/src/main/java/slipfield/policy/WaveDeliveryPolicy.java
@@ -818,7 +818,7 @@
         /** Deliveries while the endpoint is in service. */
         final EventRate deliveryRate = new EventRate(clock);
         final OutageDetector outage = new OutageDetector();
-        final Deque<Double> sendsOfLastSecond = new ArrayDeque<>();
+        final RecentTimes sendsOfLastSecond = new RecentTimes(1000);
         final Destination destination;
         final long route;
         double listedRate;
@@ -864,14 +864,13 @@
         }
 
         void sent() {
-            if (!sendsOfLastSecond.isEmpty() && sendsOfLastSecond.peekLast() < clock - IDLE_RESET_MS) {
+            if (sendsOfLastSecond.latest().orElse(clock) < clock - IDLE_RESET_MS) {
                 rate = Double.POSITIVE_INFINITY;
                 reportedRate = 0;
                 save();
             }
             sends.count(clock);
             sendsOfLastSecond.add(clock);
-            sendsOfLastSecond.removeIf(at -> at < clock - 1000);
             if (rate < Double.POSITIVE_INFINITY) {
                 backlogSince = nextSendAt < clock - BACKLOG_GAP_MS ? clock : backlogSince;
                 nextSendAt = Math.max(nextSendAt, clock) + 1 / rate;
@@ -915,7 +914,7 @@
                 return;
             }
             if (reportedRate == 0) {
-                double sent = rate == Double.POSITIVE_INFINITY ? sendsOfLastSecond.size() / 1000.0
+                double sent = rate == Double.POSITIVE_INFINITY ? sendsOfLastSecond.countAtLatest() / 1000.0
                         : Math.min(rate, RATE_OVER_SENT * sends.perMs());
                 rate = Math.max(Math.max(1 / MAX_SEND_INTERVAL_MS, fairShare()), sent * RATE_CUT);
             }
