--- a/src/main/java/slipfield/core/AttemptStarter.java
+++ b/src/main/java/slipfield/core/AttemptStarter.java
@@ -139,7 +139,13 @@
     }
 
     private void start(List<DecidedAttempt> attempts) {
-        recordWaiting(attempts.stream().filter(d -> !start(d).hasBegun()).toList());
+        List<DecidedAttempt> waiting = new ArrayList<>();
+        for (DecidedAttempt d : attempts) {
+            if (!start(d).hasBegun()) {
+                waiting.add(d);
+            }
+        }
+        recordWaiting(waiting);
     }
 
     private Transport.Attempt start(DecidedAttempt d) {
--- a/src/main/java/slipfield/journal/IdHash.java
+++ b/src/main/java/slipfield/journal/IdHash.java
@@ -1,7 +1,5 @@
 package slipfield.journal;
 
-import java.nio.ByteBuffer;
-import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -16,11 +14,6 @@
     private static final int FINALIZATION_ROUNDS = 4;
     private static final long DELIVERED = 1;
 
-    private long v0 = KEY_0 ^ 0x736f6d6570736575L;
-    private long v1 = KEY_1 ^ 0x646f72616e646f6dL;
-    private long v2 = KEY_0 ^ 0x6c7967656e657261L;
-    private long v3 = KEY_1 ^ 0x7465646279746573L;
-
     private IdHash() {
     }
 
@@ -31,43 +24,41 @@
     }
 
     static long sipHash(byte[] message) {
-        IdHash state = new IdHash();
-        ByteBuffer words = ByteBuffer.wrap(message).order(ByteOrder.LITTLE_ENDIAN);
-        while (words.remaining() >= Long.BYTES) {
-            state.compress(words.getLong());
-        }
-        long last = (long) message.length << 56;
-        for (int shift = 0; words.hasRemaining(); shift += Byte.SIZE) {
-            last |= (words.get() & 0xffL) << shift;
+        long v0 = KEY_0 ^ 0x736f6d6570736575L;
+        long v1 = KEY_1 ^ 0x646f72616e646f6dL;
+        long v2 = KEY_0 ^ 0x6c7967656e657261L;
+        long v3 = KEY_1 ^ 0x7465646279746573L;
+        int words = message.length / Long.BYTES + 1;
+        for (int i = 0; i <= words; i++) {
+            boolean last = i == words;
+            long word = last ? 0 : word(message, i);
+            v3 ^= word;
+            v2 ^= last ? 0xff : 0;
+            for (int round = last ? FINALIZATION_ROUNDS : COMPRESSION_ROUNDS; round > 0; round--) {
+                v0 += v1;
+                v1 = Long.rotateLeft(v1, 13) ^ v0;
+                v0 = Long.rotateLeft(v0, 32);
+                v2 += v3;
+                v3 = Long.rotateLeft(v3, 16) ^ v2;
+                v0 += v3;
+                v3 = Long.rotateLeft(v3, 21) ^ v0;
+                v2 += v1;
+                v1 = Long.rotateLeft(v1, 17) ^ v2;
+                v2 = Long.rotateLeft(v2, 32);
+            }
+            v0 ^= word;
         }
-        state.compress(last);
-        return state.end();
-    }
-
-    private void compress(long word) {
-        v3 ^= word;
-        rounds(COMPRESSION_ROUNDS);
-        v0 ^= word;
-    }
-
-    private long end() {
-        v2 ^= 0xff;
-        rounds(FINALIZATION_ROUNDS);
         return v0 ^ v1 ^ v2 ^ v3;
     }
 
-    private void rounds(int count) {
+    /** The next eight bytes as a little-endian number; fewer than eight are followed by the message's length in the last one. */
+    private static long word(byte[] message, int index) {
+        int from = index * Long.BYTES;
+        int count = Math.min(Long.BYTES, message.length - from);
+        long word = count < Long.BYTES ? (long) message.length << 56 : 0;
         for (int i = 0; i < count; i++) {
-            v0 += v1;
-            v1 = Long.rotateLeft(v1, 13) ^ v0;
-            v0 = Long.rotateLeft(v0, 32);
-            v2 += v3;
-            v3 = Long.rotateLeft(v3, 16) ^ v2;
-            v0 += v3;
-            v3 = Long.rotateLeft(v3, 21) ^ v0;
-            v2 += v1;
-            v1 = Long.rotateLeft(v1, 17) ^ v2;
-            v2 = Long.rotateLeft(v2, 32);
+            word |= (message[from + i] & 0xffL) << i * Byte.SIZE;
         }
+        return word;
     }
 }
